--- a/scheduler.go
+++ b/scheduler.go
@@ -3,7 +3,7 @@
 // The interface (settings, events, actions, outcomes) is in api.go; what is kept, in state.go.
 //
 // Reading order: tagging, release, node health, attempts and final answers, rule guards,
-// placement. docs/design.md tells what is RFQ as published and what was added.
+// placement. The mechanism is RFQ as published; a comment that says ours marks what was added.
 
 import (
 	"container/heap"
