--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -129,7 +129,11 @@
 		listed.Store(true)
 	}
 	go c.Run(work)
-	list := discovery.New(cfg.Discovery, cfg.Known, tell, log)
+	var spread time.Duration
+	if cfg.Module.AskForList {
+		spread = time.Duration(cfg.Module.Initiators) * discovery.CallFor
+	}
+	list := discovery.New(cfg.Discovery, cfg.Known, spread, tell, log)
 	go list.Run(work)
 	go func() {
 		for {
