scheduler: all initiators together lean on a node with at least four requests

The depth tends to where a node answers in 1.5 times its base, and the base is a low quantile of answers whose work differs (sizes, classes, repeated data). The latency then stays at 2 to 2.5 times the base with nothing waiting, so the depth always falls to its floor of 1. Five initiators keep a node of two cores busy that way; two leave a core idle whenever an answer is on its way.

Faulty line: learn's floor of 1 for each initiator, whatever their number.

--- a/scheduler.go
+++ b/scheduler.go
@@ -33,6 +33,10 @@
 	errorPart = 0.75
 	// windowMost bounds the depth, whatever the estimates. Half would bind a lone host, double guards less.
 	windowMost = 16
+	// windowLeast is what all initiators together lean on a node with at least, one each in any case: sizes
+	// differ, so answers exceed the base with nothing waiting, and the depth falls as far as it may. At one
+	// each, two initiators left cores idle between answers (recording r7646); 6 gained no more there.
+	windowLeast = 4
 	// spellAims is how many least aims an answer stays telling: one after a longer gap outweighs all before,
 	// and the latency expected falls to the base. Half forgets others' queues, double believes them too long.
 	spellAims = 4
@@ -57,6 +61,7 @@
 	turnedAt []*request       // the same by time
 	leastAim time.Duration
 	dearest  float64 // what a unit earns at most
+	least    float64 // a node's least depth here
 	crowd    bool    // the even part of what a cold node bears is under one mean request
 	volumes  map[string]*volume
 	requests map[string]*request
@@ -100,6 +105,7 @@
 		askWait:  time.Second,
 	}
 	s.set.MeanUnits = max(set.MeanUnits, 1e-3)
+	s.least = max(1, windowLeast/float64(set.Initiators))
 	s.crowd = set.ColdUnits < s.set.MeanUnits*float64(set.Initiators)
 	if set.AskForList {
 		s.askAt = 0
@@ -571,7 +577,7 @@
 		if next < n.window || float64(len(n.out)) >= math.Floor(n.window) {
 			n.window += (next - n.window) * windowGain
 		}
-		n.window = min(windowMost, max(1, n.window))
+		n.window = min(windowMost, max(s.least, n.window))
 	case Full:
 		n.window = max(1, n.window/2)
 		n.heard = s.now
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -240,7 +240,9 @@
 // TestQuietNodeGetsTrials checks that a node that answers nothing is left with one fresh attempt at a time,
 // and is used again from its first answer on.
 func TestQuietNodeGetsTrials(t *testing.T) {
-	r := newRig(t, plain(), up("n", 0))
+	set := plain()
+	set.Initiators = windowLeast
+	r := newRig(t, set, up("n", 0))
 	r.step(req("a", "v", 1), req("b", "v", 1))
 	r.now += 500 * ms
 	for i := range 5 {
@@ -476,7 +478,9 @@
 // until requests became late. Under pressure the same latencies must leave the depth shallow.
 func TestCalmNodeGetsDepth(t *testing.T) {
 	depth := func(pressed bool) float64 {
-		r := newRig(t, plain(), up("n", 0))
+		set := plain()
+		set.Initiators = windowLeast
+		r := newRig(t, set, up("n", 0))
 		n := r.s.byID["n"]
 		r.wait(time.Minute)
 		for i := range 60 {
@@ -499,6 +503,33 @@
 	}
 }
 
+// TestFewHostsKeepCoresBusy has a node under pressure answer in times that differ as sizes do, so that the latency stays
+// at twice its base: two initiators still lean on the node with two requests each, four or more with one.
+func TestFewHostsKeepCoresBusy(t *testing.T) {
+	for hosts, want := range map[int]int{2: 2, 4: 1, 80: 1} {
+		set := plain()
+		set.Initiators = hosts
+		r := newRig(t, set, up("n", 0))
+		n := r.s.byID["n"]
+		for i := range 200 {
+			n.pressed = r.now
+			r.step(req(fmt.Sprint("a", i), "v", 1), req(fmt.Sprint("b", i), "w", 1))
+			took := time.Duration(5+15*(i%2)) * ms
+			for len(n.out) > 0 {
+				r.now += took
+				r.end(n.out[0].ID, Delivered, took)
+			}
+			r.wait(200 * ms)
+		}
+		for i := range 6 {
+			r.step(req(fmt.Sprint("x", i), fmt.Sprint("v", i), 1))
+		}
+		if got := len(n.out); got != want {
+			t.Errorf("%d initiators: %d requests out at once, want %d", hosts, got, want)
+		}
+	}
+}
+
 // TestColdNodeWithCrowd guards against incident i67078b: with hundreds of initiators the even part of what a cold
 // node bears is under one request, and nothing reached restarted nodes until they were warm.
 func TestColdNodeWithCrowd(t *testing.T) {
