scheduler: a crowd's cold node gets twice what it answered, not one request a span

From 14 s on most name a node that started less than 18 s ago, held back by the cold guard alone, though what the node answered was quick:

late=false sent=0 held=6 win=1.1 fresh=0 lat=0.0668 base=0.0588 cold=0.188 age=14.9 waited=3.751

From 22 s to 24 s 520 of 590 refusals stood before that gate.

Faulty line: coldGate's test for a fleet. A cold node bears at least 17 units in 3 s from all 80 initiators, 0.2 of a unit each, so each sends one request in 3 s and, because the even part is next to nothing, what the node answers opens the gate for no second one. The 18 s pass with the node idle, whatever it could do. Now each initiator of such a crowd may send half the multiple of the fall rule times what the node answered it within the span. Summed over the fleet this is at most half of what pushes a node over; the other half is for first requests, which still start at moments of their own.

--- a/scheduler.go
+++ b/scheduler.go
@@ -841,7 +841,12 @@
 	}
 	grown := 1 + (1/max(ru.ColdShare, 0.01)-1)*max(0, age.Seconds())/ru.WarmWithin.Seconds()
 	part := s.set.ColdUnits / float64(s.set.Initiators) * grown
-	if s.crowd && sum == 0 || sum+units <= max(part, part*(1-1/max(ru.FallMultiple, 1))+shown) {
+	if s.crowd {
+		part = ru.FallMultiple / 2 * shown
+	} else {
+		part = max(part, part*(1-1/max(ru.FallMultiple, 1))+shown)
+	}
+	if s.crowd && sum == 0 || sum+units <= part {
 		return 0
 	}
 	return s.now + ru.FallWithin/16
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -571,6 +571,37 @@
 	}
 }
 
+// TestColdNodeThatAnswersGetsMore checks that a cold node that answers gets more of one initiator of a crowd than a
+// request a span, and never more than half the multiple of what it answered within the span.
+func TestColdNodeThatAnswersGetsMore(t *testing.T) {
+	set := plain()
+	set.Initiators, set.ColdUnits = 200, 10
+	set.Rules = Rules{ColdShare: 0.2, WarmWithin: 12 * time.Second, FallWithin: 3 * time.Second, FallMultiple: 4}
+	r := newRig(t, set, up("n", 0))
+	r.step(NodeList{Nodes: []Node{{ID: "n", Started: r.now}}})
+	n := r.s.byID["n"]
+	var sent, answered []time.Duration
+	since := func(list []time.Duration) int { return len(trim(list, r.now-set.Rules.FallWithin)) }
+	for i := 0; r.now < 12*time.Second; i++ {
+		before := len(r.sends)
+		r.step(req(fmt.Sprint("r", i), "v", 1))
+		if len(r.sends) > before {
+			sent = append(sent, r.now)
+			if got, most := since(sent), max(1, 2*since(answered)); got > most {
+				t.Fatalf("%d sent within the span to a node that answered %d", got, since(answered))
+			}
+		}
+		r.wait(20 * ms)
+		for _, q := range slices.Clone(n.out) {
+			r.end(q.ID, Delivered, 20*ms)
+			answered = append(answered, r.now)
+		}
+	}
+	if len(answered) < 40 {
+		t.Errorf("%d answered while it was cold, want far more than one a span", len(answered))
+	}
+}
+
 // TestAbsurdReports checks that figures no node can mean change nothing, and that a report for a node without an
 // answer yet is no harm.
 func TestAbsurdReports(t *testing.T) {
