scheduler: place new objects where answers came from, not at untried nodes first

Counted over all initiators, what is held grows evenly and without end, 457 connections at 1 s, 1701 at 5 s, 3407 at 12 s; the ten stop at 25 to 50 each. Of 2367 pairs of initiator and target, 1583 have one connection: every initiator meets every target.

Faulty line: wait, which takes a node that never answered for one that answers in 1 ms. Each new object so goes to a target that this initiator has not used, and the reads of it follow. With 5 initiators on 12 nodes that is soon over; 80 on 60 open thousands of connections. A node with no answer yet is now expected to take a least aim, so that it is tried when the known ones are busier than that.

--- a/scheduler.go
+++ b/scheduler.go
@@ -907,7 +907,11 @@
 	if n == nil {
 		return math.Inf(1)
 	}
-	w := max(n.latency, 1e-3) * (1 + float64(len(l.held)+len(n.out))/n.window)
+	usual := n.latency
+	if usual == 0 { // no answer yet: it would take a connection more, of the few that a node holds
+		usual = s.leastAim.Seconds()
+	}
+	w := usual * (1 + float64(len(l.held)+len(n.out))/n.window)
 	if s.troubled(n) || n.openAt > s.now {
 		w += 100 * s.leastAim.Seconds()
 	}
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -602,6 +602,38 @@
 	}
 }
 
+// TestNewObjectsStayWithKnownNodes checks that new objects go to nodes that have answered, rather than each to one more
+// untried node, until the known ones would take longer than an aim.
+func TestNewObjectsStayWithKnownNodes(t *testing.T) {
+	r := newRig(t, plain(), up("a", 0), up("b", 1), up("c", 2), up("d", 3), up("e", 4))
+	fresh := func(id string) Request {
+		q := req(id, "v", 1)
+		q.Shard = -1
+		return q
+	}
+	used := map[string]bool{}
+	for i := range 40 {
+		id := fmt.Sprint("w", i)
+		r.step(fresh(id))
+		r.now += 20 * ms
+		r.end(id, Delivered, 20*ms)
+		r.wait(200 * ms)
+		used[r.sends[len(r.sends)-1].Node] = true
+	}
+	if len(used) != 1 {
+		t.Fatalf("new objects went to %v while one node answered at once", used)
+	}
+	for i := range 100 {
+		r.step(fresh(fmt.Sprint("x", i)))
+	}
+	for _, a := range r.sends {
+		used[a.Node] = true
+	}
+	if len(used) < 2 {
+		t.Error("a hundred new objects at once went to one node")
+	}
+}
+
 // TestAbsurdReports checks that figures no node can mean change nothing, and that a report for a node without an
 // answer yet is no harm.
 func TestAbsurdReports(t *testing.T) {
