upstream: take an answer without a length as whole where the target ends the connection

Ruled out: answers that are really cut.

Faulty lines: readAnswer took every 200 of unknown length for spoilt (errUnframed), in the belief that a cut one would pass for whole. The read tells the two apart: an orderly end is io.EOF, a reset is an error, a stall runs into the time limit of an answer that has begun. Each cost a served request an attempt, counted against the node's health, and would have failed it where the class may not be repeated.

--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -188,7 +188,6 @@
 var (
 	errTooLarge = errors.New("answer's body is too large")
 	errNoRoom   = errors.New("answers take too much memory together")
-	errUnframed = errors.New("answer's length is not told")
 	errInformed = errors.New("too many answers of the kind 1xx")
 )
 
@@ -214,17 +213,14 @@
 		if n, err := strconv.Atoi(resp.Header.Get("Volume-Load")); err == nil && n >= 0 && n < 1e6 {
 			a.used = n + 1 // the header is the percentage itself; the module's 0 means not told
 		}
-		switch {
-		case resp.ContentLength > maxAnswer:
+		if resp.ContentLength > maxAnswer {
 			return nil, errTooLarge
-		case resp.StatusCode == http.StatusOK && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-			return nil, errUnframed // it would last until the connection ends, and a cut one would pass for whole
 		}
 		if err := await(false); err != nil {
 			return nil, err
 		}
 		most := resp.ContentLength
-		if most < 0 {
+		if most < 0 { // in chunks, or until the target ends the connection: a reset is no end, and fails the read
 			most = maxAnswer
 		}
 		defer room.Add(most)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -211,6 +211,39 @@
 	}
 }
 
+// TestAnswerWithoutLength has targets tell no length: such an answer is whole where the target ends the connection, and
+// cut where a reset or a stall does.
+func TestAnswerWithoutLength(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		end   func(*net.TCPConn) bool // whether the connection goes on
+		want  spindlehitch.Code
+		close string
+	}{
+		{"ended", func(c *net.TCPConn) bool { return false }, spindlehitch.Delivered, ""},
+		{"ended as announced", func(c *net.TCPConn) bool { return false }, spindlehitch.Delivered, "Connection: close\r\n"},
+		{"half closed", func(c *net.TCPConn) bool { c.CloseWrite(); return true }, spindlehitch.Delivered, ""},
+		{"reset", func(c *net.TCPConn) bool { c.SetLinger(0); return false }, spindlehitch.Reset, ""},
+		{"stalled", func(c *net.TCPConn) bool { return true }, spindlehitch.Reset, ""},
+	} {
+		s := newStandIn(t, func(_ int32, _ *http.Request, conn net.Conn) bool {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.close+"\r\nwhole")
+			return c.end(conn.(*net.TCPConn))
+		})
+		b := newBench(s.Addr().String())
+		for range 2 {
+			b.send(10 * time.Second)
+			r := b.result(t)
+			if body, _ := r.Payload.([]byte); r.Code != c.want || r.Code == spindlehitch.Delivered && string(body) != "whole" {
+				t.Errorf("%s: code %v, body %q, want code %v", c.name, r.Code, body, c.want)
+			}
+		}
+		if n := s.accepted.Load(); n != 2 {
+			t.Errorf("%s: %d connections for two attempts, want 2", c.name, n)
+		}
+	}
+}
+
 // TestLargeAnswers guards against taking an answer for spoilt that is only larger than a request may be, or comes in
 // pieces; and against holding more of them at a time than there is memory for.
 func TestLargeAnswers(t *testing.T) {
