front: end no connection over a request that was just read, at the end and to make room

Found by going through each path that ends a client's connection, for the instant in which a request on it is still owed.

- Stop closed what had no request open 1.8 s after SIGTERM, also where half of one had been read, and then called http.Server.Shutdown.
That closes each connection that net/http calls idle, and it calls one so until the whole head of the next request has been parsed: a request whose first half came before that moment, on a connection used before, was read and never answered.
Now what is on its way is let come in whole until AnswerBy, each answer from then on ends its connection, and no connection is closed but by the table's own look at it.
- clientConn.Read took bytes and moved the phase on in two steps.
An eviction between them (CAP, IDLE, LEAVING) found the socket empty and the phase quiet, and closed the connection over the request.
Both now happen under one lock that the eviction takes too; bytes that come after its look are unread, and the client sends them again.
- A connection slow with its first request was closed to make room also where the rest had just come.

Ruled out: the same between the core's answer and the write, where the phase is active, and for refused connections, whose remaining bytes nobody is owed an answer for.

TestLeavingReadsOn forces the first by the order of events (unexpected EOF without the change), TestEvictionMeetsRead the second (closed over it: true).

--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -29,6 +29,8 @@
 // clientConn notes when a client's bytes came and why its connection ended.
 type clientConn struct {
 	net.Conn
+	raw    syscall.RawConn           // nil where the system has none
+	taking sync.Mutex                // held while bytes are taken, and while it is decided to close the connection
 	at     atomic.Pointer[time.Time] // of the last read that brought bytes
 	asked  atomic.Int64              // requests of which a head has come
 	used   atomic.Bool               // a request has been answered on it
@@ -38,15 +40,15 @@
 	extra  bool      // past the cap, with none to make room
 }
 
-func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		now := time.Now()
-		c.at.Store(&now)
-		c.phase.CompareAndSwap(quiet, reading)
-	}
-	if c.phase.Load() == evicted {
-		return 0, net.ErrClosed
+func (c *clientConn) Read(b []byte) (n int, err error) {
+	if c.raw == nil {
+		n, err = c.Conn.Read(b)
+		c.took(n)
+	} else if ended := c.raw.Read(func(fd uintptr) bool {
+		n, err = c.take(int(fd), b)
+		return err != syscall.EAGAIN
+	}); ended != nil {
+		n, err = 0, ended
 	}
 	if err != nil {
 		c.end(c.readCause(err))
@@ -54,6 +56,39 @@
 	return n, err
 }
 
+// take reads what is there, and notes in the same step that it did: a connection that still looked quiet with a request
+// just read would be closed over it.
+func (c *clientConn) take(fd int, b []byte) (int, error) {
+	c.taking.Lock()
+	defer c.taking.Unlock()
+	if c.phase.Load() == evicted {
+		return 0, net.ErrClosed
+	}
+	n, err := syscall.Read(fd, b)
+	for err == syscall.EINTR {
+		n, err = syscall.Read(fd, b)
+	}
+	switch {
+	case err == syscall.EAGAIN:
+		return 0, err
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+	case n == 0 && len(b) > 0:
+		return 0, io.EOF
+	}
+	c.took(n)
+	return n, nil
+}
+
+// took notes that bytes came.
+func (c *clientConn) took(n int) {
+	if n > 0 {
+		now := time.Now()
+		c.at.Store(&now)
+		c.phase.CompareAndSwap(quiet, reading)
+	}
+}
+
 func (c *clientConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	if err != nil {
@@ -176,6 +211,9 @@
 
 func (t *connTable) add(c net.Conn) *clientConn {
 	cc := &clientConn{Conn: c, since: time.Now()}
+	if sc, ok := c.(syscall.Conn); ok {
+		cc.raw, _ = sc.SyscallConn()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.open[cc] = true
@@ -220,9 +258,11 @@
 }
 
 // evict closes a connection that is still in the phase, which is any but active. One with bytes on their way to it is not
-// closed: it is asking just now. The table is locked.
+// closed, unless it was refused: it is asking just now. The table is locked.
 func (t *connTable) evict(c *clientConn, phase int32, reason string) bool {
-	if phase == quiet && !upstream.Quiet(c.Conn) || !c.phase.CompareAndSwap(phase, evicted) {
+	c.taking.Lock()
+	defer c.taking.Unlock()
+	if phase != spent && !upstream.Quiet(c.Conn) || !c.phase.CompareAndSwap(phase, evicted) {
 		return false
 	}
 	c.end(reason)
@@ -306,13 +346,15 @@
 	t.mu.Unlock()
 }
 
-// endUnasked closes what has no request open: net/http would wait for heads that may never come.
-func (t *connTable) endUnasked() {
+// endUnasked closes what has no request open, and with all also what has one on its way, which is otherwise let come in
+// whole. It returns how many connections are left.
+func (t *connTable) endUnasked(all bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.open {
-		if phase := c.phase.Load(); phase != active {
+		if phase := c.phase.Load(); phase == quiet || phase == spent || phase == reading && all {
 			t.evict(c, phase, "LEAVING")
 		}
 	}
+	return len(t.open)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,6 +30,8 @@
 	// read its answer before a reset takes it.
 	drainFor  = 3 * time.Second
 	drainMost = 64 << 20
+	// endEvery is how often an end that is under way looks for connections without a request.
+	endEvery = 10 * time.Millisecond
 	// writeWithin is how long a client may take to read its answer.
 	writeWithin = 5 * time.Second
 )
@@ -59,6 +61,7 @@
 	listener atomic.Pointer[net.Listener]
 	conns    *connTable
 	left     atomic.Pointer[time.Time] // when Stop was called
+	ending   atomic.Bool               // each answer is its connection's last
 }
 
 // New returns a front for the core.
@@ -104,8 +107,18 @@
 		(*l).Close()
 	}
 	core.Pause(ctx, now.Add(core.ServeFor))
-	s.conns.endUnasked()
-	return s.http.Shutdown(ctx)
+	// Not by http.Server.Shutdown: it closes what net/http calls idle, and that may have a request half read.
+	s.ending.Store(true)
+	tick := time.NewTicker(endEvery)
+	defer tick.Stop()
+	for s.conns.endUnasked(time.Since(now) >= core.AnswerBy) > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), s.http.Close())
+		case <-tick.C:
+		}
+	}
+	return s.http.Close()
 }
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -120,7 +133,7 @@
 			http.NotFound(w, r)
 		default:
 			w.Header().Set("Connection", "close")
-			write(w, core.TooMany)
+			s.write(w, core.TooMany)
 		}
 		return
 	}
@@ -146,12 +159,12 @@
 	j.Arrived, j.Payload, j.Done = arrived, m, func(a core.Answer) { final <- a }
 	if !s.core.Submit(j) {
 		// Nothing of it was taken or sent: a repeat is harmless.
-		write(w, core.TooMany)
+		s.write(w, core.TooMany)
 		return
 	}
 	select {
 	case a := <-final:
-		write(w, a)
+		s.write(w, a)
 	case <-r.Context().Done():
 		s.core.Depart(j)
 		// A plain return would be answered with an empty 200, which no target made.
@@ -186,7 +199,10 @@
 }
 
 // write gives the one final answer. Its length is told ahead, so that a cut one shows.
-func write(w http.ResponseWriter, a core.Answer) {
+func (s *Server) write(w http.ResponseWriter, a core.Answer) {
+	if s.ending.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	switch a.Ending {
 	case core.Served:
 		body, _ := a.Payload.([]byte)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,6 +13,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -472,6 +474,98 @@
 	}
 }
 
+// TestLeavingReadsOn ends a front with half a request read on a connection that was used before, and half on a new one:
+// both are let come in whole, and have an answer that ends their connection.
+func TestLeavingReadsOn(t *testing.T) {
+	s, b, addr := newFront(t, 64)
+	go func() {
+		for j := range b.jobs {
+			j.Done(core.Answer{Payload: []byte("x")})
+		}
+	}()
+	defer close(b.jobs)
+	_, _, used := ask(t, addr, good)
+	fresh, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer fresh.Close()
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	for s.left.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	core.Pause(context.Background(), s.left.Load().Add(core.ServeFor-requestWithin/4))
+	for _, c := range []net.Conn{used, fresh} {
+		io.WriteString(c, good[:len(good)/2])
+	}
+	for !s.ending.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(4 * endEvery)
+	for name, c := range map[string]net.Conn{"used": used, "new": fresh} {
+		resp, _, _ := say(t, c, good[len(good)/2:])
+		if resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("%s: status %d, closes %v; want it served and closed", name, resp.StatusCode, resp.Close)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+// afterRead does something once bytes have been taken, before the reader gets to see them.
+type afterRead struct {
+	syscall.RawConn
+	do func()
+}
+
+func (r afterRead) Read(f func(uintptr) bool) error {
+	err := r.RawConn.Read(f)
+	r.do()
+	return err
+}
+
+// TestEvictionMeetsRead closes a quiet connection to make room in the moment in which a request was read on it: it is
+// not closed then. One that was closed gives no byte any more.
+func TestEvictionMeetsRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	in, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
+	c := table.add(in)
+	evict := func() bool {
+		table.mu.Lock()
+		defer table.mu.Unlock()
+		return table.evict(c, quiet, "CAP")
+	}
+	closed := false
+	c.raw = afterRead{c.raw, func() { closed = evict() }}
+	io.WriteString(client, "G")
+	if n, err := c.Read(make([]byte, 8)); n != 1 || err != nil || closed {
+		t.Errorf("read %d, %v; closed over it: %v", n, err, closed)
+	}
+	c.phase.Store(quiet)
+	c.raw = afterRead{c.raw.(afterRead).RawConn, func() {}}
+	if !evict() {
+		t.Error("a quiet connection was not closed")
+	}
+	if n, err := c.Read(make([]byte, 8)); n != 0 || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("after the end: read %d, %v", n, err)
+	}
+}
+
 // TestReadyNeedsAList checks that no client is invited before there is anywhere to send to.
 func TestReadyNeedsAList(t *testing.T) {
 	s, _, _ := newFront(t, 64)
