front: leave in the time that the settings' deadlines give before SIGKILL

Found by going through the paths that end something: an initiator went on serving its connections for 1.8 s after SIGTERM and answered by 2.6 s, whatever the settings say. PROTOCOL lets SIGKILL come the longest deadline (3 s at most) plus 0.7 s after SIGTERM, and whatever came later than 0.7 s after SIGTERM and is unanswered then is lost. Both constants were made for deadlines of 2 s and more. With 1.2 s, say, SIGKILL comes at 1.9 s, while requests are still taken and sent on.

Faulty lines: core.ServeFor and core.AnswerBy. The end is now derived from the longest deadline: answered 0.2 s before the earliest SIGKILL, at most 2.6 s as before, and the last requests have 0.8 s of it as before.

--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -148,7 +148,7 @@
 
 	// With NVMe the platform's front stays for its ready page alone: a target speaks one wire.
 	doors := map[string]door{cfg.Listen: front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(),
-		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Log: log})}
+		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Longest: cfg.Longest(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Log: log})}
 	if op.NVMe != nil {
 		o := op.NVMe.Controller(cfg)
 		o.Log = log
@@ -183,7 +183,7 @@
 	case <-stop.Done():
 	}
 	log.Info("leaving", slog.String("reason", "STOPPED"), slog.Int("open", c.Open()))
-	bound, done := context.WithTimeout(context.Background(), longest(cfg)+600*time.Millisecond)
+	bound, done := context.WithTimeout(context.Background(), max(cfg.Longest(), 3*time.Second)+600*time.Millisecond)
 	defer done()
 	ended := make(chan error, len(doors))
 	for _, d := range doors {
@@ -196,15 +196,6 @@
 	return err
 }
 
-// longest is the longest any client waits.
-func longest(cfg *config.Config) time.Duration {
-	d := 3 * time.Second
-	for _, c := range cfg.Module.Classes {
-		d = max(d, c.Deadline)
-	}
-	return d
-}
-
 func targets(l *discovery.List) []upstream.Target {
 	out := make([]upstream.Target, 0, len(l.Servers))
 	for _, e := range l.Servers {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -185,6 +185,15 @@
 	return m
 }
 
+// Longest is the longest that any client waits.
+func (c *Config) Longest() time.Duration {
+	var d time.Duration
+	for _, k := range c.Module.Classes {
+		d = max(d, k.Deadline)
+	}
+	return d
+}
+
 // Plans are the names of the plans known.
 func (c *Config) Plans() map[string]bool {
 	m := map[string]bool{}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,14 +42,32 @@
 // machine has accepted but nobody has read from would be lost with the listener.
 const LingerFor = 450 * time.Millisecond
 
-// ServeFor is how long after SIGTERM a front goes on with what comes on connections that it has: their clients know no
-// other way, and go without until the successor is up. AnswerBy is when, from SIGTERM on, what was taken after
-// LingerFor has its answer, so that the successor need not wait.
+// Leaving says how the program ends after SIGTERM, counted from there.
+type Leaving struct {
+	// ServeFor is how long a front goes on with what comes on connections that it has: their clients know no other way,
+	// and go without until the successor is up.
+	ServeFor time.Duration
+	// AnswerBy is when what was taken after LingerFor has its answer, so that the successor need not wait.
+	AnswerBy time.Duration
+}
+
 const (
-	ServeFor = 1800 * time.Millisecond
-	AnswerBy = 2600 * time.Millisecond
+	mostAnswerBy = 2600 * time.Millisecond
+	// answerWithin is the time that the last requests have.
+	answerWithin = 800 * time.Millisecond
+	// killAfter and killMost say when SIGKILL may come: the longest deadline, at most killMost, and killAfter later.
+	// Requests of the end that it finds without an answer are lost; killMargin is what a busy process may be late by.
+	killAfter  = 700 * time.Millisecond
+	killMost   = 3 * time.Second
+	killMargin = 200 * time.Millisecond
 )
 
+// LeavingFor is the end that fits clients who wait for so long at the longest.
+func LeavingFor(longest time.Duration) Leaving {
+	by := min(mostAnswerBy, min(longest, killMost)+killAfter-killMargin)
+	return Leaving{ServeFor: max(by-answerWithin, LingerFor), AnswerBy: by}
+}
+
 // Pause waits until then, or until the context ends.
 func Pause(ctx context.Context, until time.Time) {
 	select {
@@ -60,7 +78,7 @@
 
 // Cut shortens a patience so that the answer is there by AnswerBy, for a request taken after LingerFor; left is the
 // moment of SIGTERM, nil before it.
-func Cut(patience time.Duration, arrived time.Time, left *time.Time) time.Duration {
+func (l Leaving) Cut(patience time.Duration, arrived time.Time, left *time.Time) time.Duration {
 	if left == nil {
 		return patience
 	}
@@ -68,7 +86,7 @@
 	if since <= LingerFor {
 		return patience
 	}
-	return max(min(patience, AnswerBy-since), 0)
+	return max(min(patience, l.AnswerBy-since), 0)
 }
 
 // Job is a request as a front hands it over. ID and Budget are the core's to fill.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -260,3 +260,25 @@
 		}
 	}
 }
+
+// TestLeavingEndsBeforeKill guards against an end as long as one site's deadlines allow: where clients wait for less,
+// SIGKILL comes sooner, and what it finds without an answer is lost.
+func TestLeavingEndsBeforeKill(t *testing.T) {
+	for ms := 300; ms < 10000; ms += 100 {
+		longest := time.Duration(ms) * time.Millisecond
+		kill := min(longest, 3*time.Second) + 700*time.Millisecond
+		l := LeavingFor(longest)
+		if l.AnswerBy > kill-100*time.Millisecond || l.ServeFor < LingerFor || l.ServeFor > l.AnswerBy {
+			t.Errorf("clients wait for %v, killed after %v: serves for %v, answers by %v", longest, kill, l.ServeFor, l.AnswerBy)
+		}
+		left := time.Now()
+		for since := LingerFor + time.Millisecond; since < 4*time.Second; since += 50 * time.Millisecond {
+			if p := l.Cut(longest, left.Add(since), &left); p < 0 || p > 0 && since+p > l.AnswerBy {
+				t.Errorf("clients wait for %v: one that asks after %v may take %v", longest, since, p)
+			}
+		}
+		if p := l.Cut(longest, left.Add(LingerFor), &left); p != longest {
+			t.Errorf("clients wait for %v: one that came with the last new connections has %v", longest, p)
+		}
+	}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -46,7 +46,7 @@
 	t.Helper()
 	b := &back{jobs: make(chan *core.Job, 64), gone: make(chan *core.Job, 64)}
 	s := New(b, Options{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, MostConn: most, EasyConn: most,
-		Log: slog.New(slog.DiscardHandler)})
+		Longest: 5 * time.Second, Log: slog.New(slog.DiscardHandler)})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -459,13 +459,13 @@
 	if resp, body, _ := say(t, kept, strings.Replace(good, "480", "9999", 1)); resp.StatusCode != 200 || body != "kept" {
 		t.Errorf("on a connection from before: %d, %q", resp.StatusCode, body)
 	}
-	if p := <-served; p > core.AnswerBy-core.LingerFor {
+	if p := <-served; p > s.end.AnswerBy-core.LingerFor {
 		t.Errorf("it may take %v, past the end", p)
 	}
 	select {
 	case <-stopped:
 		t.Error("ended with a request open")
-	case <-time.After(core.ServeFor):
+	case <-time.After(s.end.ServeFor):
 	}
 	j.Done(core.Answer{Payload: []byte("late")})
 	wait.Wait()
@@ -495,7 +495,7 @@
 	for s.left.Load() == nil {
 		time.Sleep(time.Millisecond)
 	}
-	core.Pause(context.Background(), s.left.Load().Add(core.ServeFor-requestWithin/4))
+	core.Pause(context.Background(), s.left.Load().Add(s.end.ServeFor-requestWithin/4))
 	for _, c := range []net.Conn{used, fresh} {
 		io.WriteString(c, good[:len(good)/2])
 	}
