front: let TestCapMakesRoom wait until the connections are noted as idle

The test was wrong on a busy machine: it took the order in which clients read their answers for the order in which the front notes that a connection has no request, which net/http tells only after the answer has gone out.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -378,9 +378,24 @@
 	}
 }
 
+// awaitQuiet waits until so many connections are noted as without a request: net/http tells that only after the answer
+// has gone out, so a client may be ahead of it.
+func awaitQuiet(s *Server, n int) {
+	for found := -1; found != n; time.Sleep(time.Millisecond) {
+		s.conns.mu.Lock()
+		found = 0
+		for c := range s.conns.open {
+			if c.phase.Load() == quiet {
+				found++
+			}
+		}
+		s.conns.mu.Unlock()
+	}
+}
+
 // TestCapMakesRoom fills the clients' connections: a new one is taken all the same, and the one idle longest goes.
 func TestCapMakesRoom(t *testing.T) {
-	_, b, addr := newFront(t, 2)
+	s, b, addr := newFront(t, 2)
 	go func() {
 		for j := range b.jobs {
 			j.Done(core.Answer{Payload: []byte("x")})
@@ -388,7 +403,9 @@
 	}()
 	defer close(b.jobs)
 	_, _, first := ask(t, addr, good)
+	awaitQuiet(s, 1)
 	_, _, second := ask(t, addr, good)
+	awaitQuiet(s, 2)
 	if resp, _, _ := ask(t, addr, good); resp.StatusCode != 200 {
 		t.Errorf("past the cap: status %d", resp.StatusCode)
 	}
@@ -485,6 +502,7 @@
 	}()
 	defer close(b.jobs)
 	_, _, used := ask(t, addr, good)
+	awaitQuiet(s, 1)
 	fresh, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
