front: see a client go behind requests that it sent ahead

The open request was sent on however long ago its client had gone, and so was each that followed while answers could still be written.

Ruled out: clients with one request at a time, and those whose requests all fit what is read ahead (4 KB); there the end itself is read.

Faulty lines: ServeHTTP's wait, which knows of the client's end by the request's context alone. Where more than one request has come at a time, it now asks the connection itself, before a request is handed over and each 25 ms while it is open. Usual clients, with one request at a time, cost nothing more.

TestDepartureBehindRequests (the core was not told) and TestDepartureBetweenRequests (1 more were taken) fail without the two halves of it.

--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"spindlehitch/internal/upstream"
 )
 
@@ -36,6 +38,8 @@
 	used   atomic.Bool               // a request has been answered on it
 	reason atomic.Pointer[string]
 	phase  atomic.Int32
+	ahead  chan struct{} // closed once more than one request has come at a time; nil: not watched
+	once   sync.Once
 	since  time.Time // when it became quiet; under the table's lock
 	extra  bool      // past the cap, with none to make room
 }
@@ -77,9 +81,27 @@
 		return 0, io.EOF
 	}
 	c.took(n)
+	if n == 1 && len(b) == 1 && c.ahead != nil {
+		// net/http looks out for the client's end by a read of one byte. With one in hand it looks no more.
+		c.once.Do(func() { close(c.ahead) })
+	}
 	return n, nil
 }
 
+// gone tells whether the client has ended the connection, also where bytes of it are still unread.
+func (c *clientConn) gone() bool {
+	if c.raw == nil {
+		return false
+	}
+	ended := false
+	err := c.raw.Control(func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look, 0)
+		ended = err == nil && n > 0
+	})
+	return err != nil || ended
+}
+
 // took notes that bytes came.
 func (c *clientConn) took(n int) {
 	if n > 0 {
@@ -210,7 +232,7 @@
 }
 
 func (t *connTable) add(c net.Conn) *clientConn {
-	cc := &clientConn{Conn: c, since: time.Now()}
+	cc := &clientConn{Conn: c, since: time.Now(), ahead: make(chan struct{})}
 	if sc, ok := c.(syscall.Conn); ok {
 		cc.raw, _ = sc.SyscallConn()
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,9 @@
 	drainMost = 64 << 20
 	// endEvery is how often an end that is under way looks for connections without a request.
 	endEvery = 10 * time.Millisecond
+	// lookEvery is how often a client that sent more than one request at a time is looked for: nothing may be sent on for
+	// it 0.1 s after it has gone.
+	lookEvery = 25 * time.Millisecond
 	// writeWithin is how long a client may take to read its answer.
 	writeWithin = 5 * time.Second
 )
@@ -160,15 +163,37 @@
 	// The core's goroutine must not wait for a client: the answer has a place of its own.
 	final := make(chan core.Answer, 1)
 	j.Arrived, j.Payload, j.Done = arrived, m, func(a core.Answer) { final <- a }
+	ahead := conn.ahead
+	select {
+	case <-ahead:
+		if conn.gone() { // with this request unread
+			panic(http.ErrAbortHandler)
+		}
+	default:
+	}
 	if !s.core.Submit(j) {
 		// Nothing of it was taken or sent: a repeat is harmless.
 		s.write(w, core.TooMany)
 		return
 	}
-	select {
-	case a := <-final:
-		s.write(w, a)
-	case <-r.Context().Done():
+	left := r.Context().Done()
+	var look <-chan time.Time
+	for {
+		select {
+		case a := <-final:
+			s.write(w, a)
+			return
+		case <-ahead:
+			tick := time.NewTicker(lookEvery)
+			defer tick.Stop()
+			ahead, look = nil, tick.C
+			continue
+		case <-look:
+			if !conn.gone() {
+				continue
+			}
+		case <-left:
+		}
 		s.core.Depart(j)
 		// A plain return would be answered with an empty 200, which no target made.
 		panic(http.ErrAbortHandler)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -230,6 +230,78 @@
 	}
 }
 
+// TestDepartureBehindRequests has a client send more requests at once than are read ahead, and go: the open one departs,
+// and none of the others is taken. One that stays is served them all.
+func TestDepartureBehindRequests(t *testing.T) {
+	const many = 40
+	for _, leaves := range []bool{true, false} {
+		_, b, addr := newFront(t, 64)
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, strings.Repeat(good, many))
+		j := <-b.jobs
+		if leaves {
+			c.(*net.TCPConn).CloseWrite()
+			select {
+			case g := <-b.gone:
+				if g != j {
+					t.Error("another job departed")
+				}
+			case <-time.After(20 * time.Second):
+				t.Fatal("the core was not told")
+			}
+			io.Copy(io.Discard, c) // until the front has ended it, by a reset over what it did not read
+			if n := len(b.jobs); n > 0 {
+				t.Errorf("%d more were taken", n)
+			}
+			continue
+		}
+		in := bufio.NewReader(c)
+		for i := range many {
+			if i > 0 {
+				j = <-b.jobs
+			}
+			if i%8 == 0 {
+				time.Sleep(2 * lookEvery)
+			}
+			j.Done(core.Answer{Payload: []byte("x")})
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatalf("request %d: %+v, %v", i, resp, err)
+			}
+			io.Copy(io.Discard, resp.Body)
+		}
+	}
+}
+
+// TestDepartureBetweenRequests has a client send many requests at once and go just as the first is answered: those read
+// ahead are not taken any more.
+func TestDepartureBetweenRequests(t *testing.T) {
+	_, b, addr := newFront(t, 64)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, strings.Repeat(good, 40))
+	j := <-b.jobs
+	j.Done = func(done func(core.Answer)) func(core.Answer) {
+		return func(a core.Answer) {
+			c.(*net.TCPConn).CloseWrite()
+			time.Sleep(5 * time.Millisecond) // for its end to come, still within the first look
+			done(a)
+		}
+	}(j.Done)
+	j.Done(core.Answer{Payload: []byte("x")})
+	io.Copy(io.Discard, c)
+	if n := len(b.jobs); n > 0 {
+		t.Errorf("%d more were taken", n)
+	}
+}
+
 // TestSlowClients guards against clients that say nothing, too little or too slowly: each is told an error or closed
 // within 3 s, one of them after a first request too. A request that is open for longer is none of them.
 func TestSlowClients(t *testing.T) {
