--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,9 @@
 	drainMost = 64 << 20
 	// endEvery is how often an end that is under way looks for connections without a request.
 	endEvery = 10 * time.Millisecond
+	// lookEvery is how often a client that sent more than one request at a time is looked for: nothing may be sent on for
+	// it 0.1 s after it has gone.
+	lookEvery = 25 * time.Millisecond
 	// writeWithin is how long a client may take to read its answer.
 	writeWithin = 5 * time.Second
 )
@@ -40,10 +43,11 @@
 type Options struct {
 	Classes   map[string]bool
 	Plans     map[string]bool
-	MostConn  int         // clients' connections at a time
-	EasyConn  int         // of these, how many may be without a request
-	Ready     func() bool // whether requests can be sent on; nil: from the start
-	ReadyOnly bool        // requests come in by another front
+	MostConn  int           // clients' connections at a time
+	EasyConn  int           // of these, how many may be without a request
+	Longest   time.Duration // that any client waits
+	Ready     func() bool   // whether requests can be sent on; nil: from the start
+	ReadyOnly bool          // requests come in by another front
 	Log       *slog.Logger
 }
 
@@ -60,14 +64,16 @@
 	http     http.Server
 	listener atomic.Pointer[net.Listener]
 	conns    *connTable
+	end      core.Leaving
 	left     atomic.Pointer[time.Time] // when Stop was called
 	ending   atomic.Bool               // each answer is its connection's last
 }
 
 // New returns a front for the core.
 func New(c Core, opt Options) *Server {
-	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.EasyConn, opt.Log)}
-	s.http = http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: 2 * core.AnswerBy, MaxHeaderBytes: maxHead,
+	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.EasyConn, opt.Log),
+		end: core.LeavingFor(opt.Longest)}
+	s.http = http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: idleFor + idleFor/2 + s.end.ServeFor, MaxHeaderBytes: maxHead,
 		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelWarn)}
 	return s
 }
@@ -106,12 +112,12 @@
 	if l := s.listener.Load(); l != nil {
 		(*l).Close()
 	}
-	core.Pause(ctx, now.Add(core.ServeFor))
+	core.Pause(ctx, now.Add(s.end.ServeFor))
 	// Not by http.Server.Shutdown: it closes what net/http calls idle, and that may have a request half read.
 	s.ending.Store(true)
 	tick := time.NewTicker(endEvery)
 	defer tick.Stop()
-	for s.conns.endUnasked(time.Since(now) >= core.AnswerBy) > 0 {
+	for s.conns.endUnasked(time.Since(now) >= s.end.AnswerBy) > 0 {
 		select {
 		case <-ctx.Done():
 			return errors.Join(ctx.Err(), s.http.Close())
@@ -153,19 +159,41 @@
 	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		panic(http.ErrAbortHandler)
 	}
-	j.Patience = core.Cut(j.Patience, arrived, s.left.Load())
+	j.Patience = s.end.Cut(j.Patience, arrived, s.left.Load())
 	// The core's goroutine must not wait for a client: the answer has a place of its own.
 	final := make(chan core.Answer, 1)
 	j.Arrived, j.Payload, j.Done = arrived, m, func(a core.Answer) { final <- a }
+	ahead := conn.ahead
+	select {
+	case <-ahead:
+		if conn.gone() { // with this request unread
+			panic(http.ErrAbortHandler)
+		}
+	default:
+	}
 	if !s.core.Submit(j) {
 		// Nothing of it was taken or sent: a repeat is harmless.
 		s.write(w, core.TooMany)
 		return
 	}
-	select {
-	case a := <-final:
-		s.write(w, a)
-	case <-r.Context().Done():
+	left := r.Context().Done()
+	var look <-chan time.Time
+	for {
+		select {
+		case a := <-final:
+			s.write(w, a)
+			return
+		case <-ahead:
+			tick := time.NewTicker(lookEvery)
+			defer tick.Stop()
+			ahead, look = nil, tick.C
+			continue
+		case <-look:
+			if !conn.gone() {
+				continue
+			}
+		case <-left:
+		}
 		s.core.Depart(j)
 		// A plain return would be answered with an empty 200, which no target made.
 		panic(http.ErrAbortHandler)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -46,7 +46,7 @@
 	t.Helper()
 	b := &back{jobs: make(chan *core.Job, 64), gone: make(chan *core.Job, 64)}
 	s := New(b, Options{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, MostConn: most, EasyConn: most,
-		Log: slog.New(slog.DiscardHandler)})
+		Longest: 5 * time.Second, Log: slog.New(slog.DiscardHandler)})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -230,6 +230,78 @@
 	}
 }
 
+// TestDepartureBehindRequests has a client send more requests at once than are read ahead, and go: the open one departs,
+// and none of the others is taken. One that stays is served them all.
+func TestDepartureBehindRequests(t *testing.T) {
+	const many = 40
+	for _, leaves := range []bool{true, false} {
+		_, b, addr := newFront(t, 64)
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, strings.Repeat(good, many))
+		j := <-b.jobs
+		if leaves {
+			c.(*net.TCPConn).CloseWrite()
+			select {
+			case g := <-b.gone:
+				if g != j {
+					t.Error("another job departed")
+				}
+			case <-time.After(20 * time.Second):
+				t.Fatal("the core was not told")
+			}
+			io.Copy(io.Discard, c) // until the front has ended it, by a reset over what it did not read
+			if n := len(b.jobs); n > 0 {
+				t.Errorf("%d more were taken", n)
+			}
+			continue
+		}
+		in := bufio.NewReader(c)
+		for i := range many {
+			if i > 0 {
+				j = <-b.jobs
+			}
+			if i%8 == 0 {
+				time.Sleep(2 * lookEvery)
+			}
+			j.Done(core.Answer{Payload: []byte("x")})
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatalf("request %d: %+v, %v", i, resp, err)
+			}
+			io.Copy(io.Discard, resp.Body)
+		}
+	}
+}
+
+// TestDepartureBetweenRequests has a client send many requests at once and go just as the first is answered: those read
+// ahead are not taken any more.
+func TestDepartureBetweenRequests(t *testing.T) {
+	_, b, addr := newFront(t, 64)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, strings.Repeat(good, 40))
+	j := <-b.jobs
+	j.Done = func(done func(core.Answer)) func(core.Answer) {
+		return func(a core.Answer) {
+			c.(*net.TCPConn).CloseWrite()
+			time.Sleep(5 * time.Millisecond) // for its end to come, still within the first look
+			done(a)
+		}
+	}(j.Done)
+	j.Done(core.Answer{Payload: []byte("x")})
+	io.Copy(io.Discard, c)
+	if n := len(b.jobs); n > 0 {
+		t.Errorf("%d more were taken", n)
+	}
+}
+
 // TestSlowClients guards against clients that say nothing, too little or too slowly: each is told an error or closed
 // within 3 s, one of them after a first request too. A request that is open for longer is none of them.
 func TestSlowClients(t *testing.T) {
@@ -378,9 +450,24 @@
 	}
 }
 
+// awaitQuiet waits until so many connections are noted as without a request: net/http tells that only after the answer
+// has gone out, so a client may be ahead of it.
+func awaitQuiet(s *Server, n int) {
+	for found := -1; found != n; time.Sleep(time.Millisecond) {
+		s.conns.mu.Lock()
+		found = 0
+		for c := range s.conns.open {
+			if c.phase.Load() == quiet {
+				found++
+			}
+		}
+		s.conns.mu.Unlock()
+	}
+}
+
 // TestCapMakesRoom fills the clients' connections: a new one is taken all the same, and the one idle longest goes.
 func TestCapMakesRoom(t *testing.T) {
-	_, b, addr := newFront(t, 2)
+	s, b, addr := newFront(t, 2)
 	go func() {
 		for j := range b.jobs {
 			j.Done(core.Answer{Payload: []byte("x")})
@@ -388,7 +475,9 @@
 	}()
 	defer close(b.jobs)
 	_, _, first := ask(t, addr, good)
+	awaitQuiet(s, 1)
 	_, _, second := ask(t, addr, good)
+	awaitQuiet(s, 2)
 	if resp, _, _ := ask(t, addr, good); resp.StatusCode != 200 {
 		t.Errorf("past the cap: status %d", resp.StatusCode)
 	}
@@ -459,13 +548,13 @@
 	if resp, body, _ := say(t, kept, strings.Replace(good, "480", "9999", 1)); resp.StatusCode != 200 || body != "kept" {
 		t.Errorf("on a connection from before: %d, %q", resp.StatusCode, body)
 	}
-	if p := <-served; p > core.AnswerBy-core.LingerFor {
+	if p := <-served; p > s.end.AnswerBy-core.LingerFor {
 		t.Errorf("it may take %v, past the end", p)
 	}
 	select {
 	case <-stopped:
 		t.Error("ended with a request open")
-	case <-time.After(core.ServeFor):
+	case <-time.After(s.end.ServeFor):
 	}
 	j.Done(core.Answer{Payload: []byte("late")})
 	wait.Wait()
@@ -485,6 +574,7 @@
 	}()
 	defer close(b.jobs)
 	_, _, used := ask(t, addr, good)
+	awaitQuiet(s, 1)
 	fresh, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
@@ -495,7 +585,7 @@
 	for s.left.Load() == nil {
 		time.Sleep(time.Millisecond)
 	}
-	core.Pause(context.Background(), s.left.Load().Add(core.ServeFor-requestWithin/4))
+	core.Pause(context.Background(), s.left.Load().Add(s.end.ServeFor-requestWithin/4))
 	for _, c := range []net.Conn{used, fresh} {
 		io.WriteString(c, good[:len(good)/2])
 	}
