discovery: call again within 6 s after any failed call, whatever the size of the fleet

- the pause before the first call and after a failed one was up to 0.1 s for each initiator, 30 s for 300, and doubled up to 32 s (mostSpread); TestFleetAsksInTurn had calls of one initiator 10 and 45 s apart;
- a call after a failure waited for news for 20 s again, so that a second silence took 21.5 s more to show;
- after a silent watch the spread came on top of its 21.5 s: 29 s, where 22 s is the bound.

Now pauses lie within 3 s, a fleet that fails at once is spread over them once and each initiator then keeps its moment, the call after a failure asks without waiting, and the one after a silence comes at once, since silences have moments of their own. Such a call may take 2.5 s: on r883 discovery lets calls wait their turn for 2.0 s, and the program gave them up after 1.5 s, for nobody's good.

On this site, where lists are pushed, nothing is spread and only the waiting changes.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,14 +24,18 @@
 	// graceFor is how long an answer may be overdue before the call is given up: discovery is silent while
 	// it is down, and what it has to say counts as told that long after the wait.
 	graceFor = 1500 * time.Millisecond
+	// turnFor is how long a call that does not wait for news may take where one discovery serves all initiators: on
+	// recording r883 it lets calls wait their turn for 2 s, and those given up before that take it from others.
+	turnFor = 2500 * time.Millisecond
 	// retryAfter is the pause after a call that failed.
 	retryAfter = 100 * time.Millisecond
 	// CallFor is about what one call takes of a discovery that serves all initiators in turn: 85 to 190 ms on
 	// recording r883, by the length of the list. Calls given up while they wait their turn take it all the same,
 	// so a fleet that asks at once, or again soon after a failure, is never served.
 	CallFor = 100 * time.Millisecond
-	// mostSpread bounds the pause after calls that failed many times in a row.
-	mostSpread = 32 * time.Second
+	// mostSpread bounds the pause before a first call and after one that failed, whatever the size of the fleet: a change
+	// counts as told 6 s after discovery could be reached, and the call itself may take turnFor.
+	mostSpread = 3 * time.Second
 	maxList    = 4 << 20
 )
 
@@ -111,14 +115,15 @@
 	call   http.Client
 	box    *mailbox.Box[*List]
 	moves  *mailbox.Box[string]
+	apart  bool  // the next call comes at a moment of its own, of the fleet's
 	has    int64 // the version that came last; -1: none that a change could follow
 }
 
 // New returns a watcher of discovery at addr. It tells the list as last known first, if there is one, however
 // old; then what comes. Where one discovery serves all initiators, their first calls come within spread of their
-// starts, each at a moment of its own, and so do those after a failure; 0: it is this initiator's alone.
+// starts and of a failure, each at a moment of its own; 0: it is this initiator's alone.
 func New(addr string, known *List, spread time.Duration, tell func(*List), log *slog.Logger) *Watcher {
-	w := &Watcher{addr: addr, spread: spread, tell: tell, log: log, box: mailbox.New[*List](),
+	w := &Watcher{addr: addr, spread: min(spread, mostSpread), tell: tell, log: log, box: mailbox.New[*List](),
 		moves: mailbox.New[string](), has: -1}
 	if known != nil {
 		whole := *known
@@ -153,6 +158,7 @@
 // watch calls discovery until the context ends, wherever it is by then.
 func (w *Watcher) watch(ctx context.Context) {
 	pause(ctx, within(w.spread))
+	w.apart = true
 	for addr := w.addr; ctx.Err() == nil; {
 		at, leave := context.WithCancel(ctx)
 		left := make(chan struct{})
@@ -169,7 +175,7 @@
 		}
 		leave()
 		<-left // a call at the old address must not overtake the first at the new one
-		w.has = -1
+		w.has, w.apart = -1, false
 		w.call.CloseIdleConnections()
 	}
 }
@@ -186,16 +192,24 @@
 
 // watchAt calls discovery at one address until the context ends. It goes on from the version that it has, also after a
 // call that failed, since a whole list costs discovery the most; after a list that makes no sense, or a version that
-// went back, it asks for the whole. The next call comes at once: a gap of 200 ms between two would end the watch.
+// went back, it asks for the whole. The next call comes at once: a gap of 200 ms between two would end the watch. After a
+// failure it does not wait for news, so that another silence is seen soon.
 func (w *Watcher) watchAt(ctx context.Context, addr string) {
 	failed := 0
 	for ctx.Err() == nil {
 		path, wait := "/api/targets", time.Duration(0)
 		if w.has >= 0 {
-			path = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", w.has, watchFor.Milliseconds())
-			wait = watchFor
+			if failed == 0 {
+				wait = watchFor
+			}
+			path = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", w.has, wait.Milliseconds())
+		}
+		begun := time.Now()
+		most := wait + graceFor
+		if w.spread > 0 {
+			most = max(most, turnFor)
 		}
-		l, err := w.fetch(ctx, "http://"+addr+path, wait+graceFor)
+		l, err := w.fetch(ctx, "http://"+addr+path, most)
 		if err == nil && !l.Full && (w.has < 0 || *l.Version < w.has) {
 			err = fmt.Errorf("%w: a change to version %d where %d is held", errList, *l.Version, w.has)
 		}
@@ -210,13 +224,22 @@
 			if errors.Is(err, errList) {
 				w.has = -1
 			}
-			pause(ctx, retryAfter+within(min(w.spread<<min(failed-1, 8), mostSpread)))
+			spread := w.spread
+			switch {
+			case w.apart:
+			case wait > 0 && time.Since(begun) >= wait:
+				spread = 0 // a silence that began at a moment of its own, with no time left to wait
+			default:
+				spread, w.apart = within(spread), true
+			}
+			pause(ctx, retryAfter+spread)
 			continue
 		}
 		if failed > 0 {
 			w.log.Info("list call works again", slog.Int("failed", failed))
 			failed = 0
 		}
+		w.apart = false
 		w.has = *l.Version
 		if l.Full || len(l.Servers) > 0 {
 			w.box.Put(l)
