upstream: keep a connection that comes up late for the next attempt

Ruled out: connections closed over a request (0 requests written to closed ones), and targets that refuse (CONNECT_FAILED all come after the whole 0.25 s).

Faulty lines: target.dial, which ended the handshake with the attempt that waited for it. The target has paid for it, and the next attempt starts another, as late with the same chance; three such in a row, and the request is refused and the node taken for ill. The dial now goes on for 8 times as long, one at a time at each target, and what comes of it waits in the pool. The attempt ends as before. It stays counted among the connections, so the bounds hold.

TestLateConnectionIsKept fails without it.

--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -19,7 +19,11 @@
 	retire struct{}
 	done   struct {
 		try  *try
-		conn *conn // to be used again; nil: closed
+		conn *conn // to be used again; nil: closed, or not up yet
+	}
+	// late ends a dial that its attempt did not wait for.
+	late struct {
+		conn *conn // nil: it never came up
 	}
 )
 
@@ -37,6 +41,7 @@
 	busy  map[string]*try
 	conns int
 	all   *atomic.Int64 // conns of all targets
+	slow  atomic.Bool   // a dial goes on that its attempt did not wait for; one at a time
 }
 
 // Wire opens connections of one protocol.
@@ -71,8 +76,12 @@
 	mu     sync.Mutex
 	conn   Session
 	called bool // called off
+	slow   bool // its dial goes on without it
 }
 
+// lateDials is how many times as long as an attempt waits for it a connection may take to come up at all.
+const lateDials = 8
+
 func newTarget(id string, opt Options, all *atomic.Int64, report func(core.Result)) *target {
 	return &target{id: id, opt: opt, all: all, report: report, box: mailbox.New[any](), busy: map[string]*try{}}
 }
@@ -91,7 +100,7 @@
 	tick := time.NewTicker(max(t.opt.Idle/8, 50*time.Millisecond))
 	defer tick.Stop()
 	retired := false
-	for !retired || len(t.busy) > 0 {
+	for !retired || len(t.busy) > 0 || t.slow.Load() {
 		select {
 		case <-t.box.Wake():
 		case <-tick.C:
@@ -109,6 +118,9 @@
 				}
 			case done:
 				t.finish(m)
+			case late:
+				t.slow.Store(false)
+				t.pool(m.conn)
 			case moved:
 				t.prune()
 			case retire:
@@ -158,12 +170,19 @@
 	if t.busy[m.try.Request] == m.try {
 		delete(t.busy, m.try.Request)
 	}
-	if m.conn == nil {
+	if !m.try.slow {
+		t.pool(m.conn)
+	}
+}
+
+// pool keeps a connection for the next attempt, or notes that it came to nothing.
+func (t *target) pool(c *conn) {
+	if c == nil {
 		t.count(-1)
 		return
 	}
-	m.conn.idleAt = time.Now()
-	t.idle = append(t.idle, m.conn)
+	c.idleAt = time.Now()
+	t.idle = append(t.idle, c)
 	t.prune()
 }
 
@@ -241,15 +260,41 @@
 	t.report(r)
 }
 
+// dial opens a connection for the attempt. One that takes longer than the attempt waits goes on, and the next attempt
+// finds it in the pool: its handshake is paid for, and a new one may take as long.
 func (t *target) dial(y *try) *conn {
-	ctx, stop := context.WithTimeout(y.ctx, t.opt.Dial)
-	defer stop()
-	addr := t.address()
-	s, err := t.opt.Wire.Dial(ctx, addr)
-	if err != nil {
+	ctx, stop := context.WithTimeout(context.Background(), lateDials*t.opt.Dial)
+	came := make(chan *conn, 1)
+	go func() {
+		addr := t.address()
+		s, err := t.opt.Wire.Dial(ctx, addr)
+		if err != nil {
+			came <- nil
+			return
+		}
+		came <- &conn{Session: s, addr: addr}
+	}()
+	wait := time.NewTimer(t.opt.Dial)
+	defer wait.Stop()
+	select {
+	case c := <-came:
+		stop()
+		return c
+	case <-wait.C:
+	case <-y.ctx.Done():
+	}
+	if y.slow = t.slow.CompareAndSwap(false, true); !y.slow {
+		stop()
+		if c := <-came; c != nil {
+			c.Close()
+		}
 		return nil
 	}
-	return &conn{Session: s, addr: addr}
+	go func() {
+		defer stop()
+		t.box.Put(late{<-came})
+	}()
+	return nil
 }
 
 // exchange has the attempt carried out on c, and returns c if it can be used again.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -357,6 +358,69 @@
 	}
 }
 
+// lateWire opens connections that come up when the test says so.
+type lateWire struct {
+	asked, gone atomic.Int32
+	up          chan bool
+}
+
+func (w *lateWire) Dial(ctx context.Context, _ string) (Session, error) {
+	w.asked.Add(1)
+	select {
+	case <-w.up:
+		return served{}, nil
+	case <-ctx.Done():
+		w.gone.Add(1)
+		return nil, ctx.Err()
+	}
+}
+
+// served is a connection on which every attempt is.
+type served struct{}
+
+func (served) Do(core.Attempt, func() bool) (core.Result, bool, string) {
+	return core.Result{Code: spindlehitch.Delivered}, true, ""
+}
+func (served) Alive() bool  { return true }
+func (served) Close() error { return nil }
+
+// TestLateConnectionIsKept has connections come up later than their attempts wait: the first goes on, one at a time, and
+// carries the next attempt; a target that is gone ends with it, and nothing stays counted.
+func TestLateConnectionIsKept(t *testing.T) {
+	w := &lateWire{up: make(chan bool)}
+	b := &bench{results: make(chan core.Result, 64)}
+	b.Registry = NewRegistry(Options{Wire: w, Dial: 250 * time.Millisecond, Idle: time.Minute, MostConn: 4, MostAll: 6,
+		Log: slog.New(slog.DiscardHandler)}, func(r core.Result) { b.results <- r })
+	b.Apply([]Target{{ID: "n", Addr: "a:1"}}, true)
+	for i := range 2 {
+		b.send(10 * time.Second)
+		if r := b.result(t); r.Code != spindlehitch.NoConnection {
+			t.Fatalf("attempt %d: code %v, want no connection", i, r.Code)
+		}
+	}
+	if asked, gone := w.asked.Load(), w.gone.Load(); asked != 2 || gone != 1 {
+		t.Errorf("%d dials, %d given up; want the second given up beside the first", asked, gone)
+	}
+	b.mu.Lock()
+	n := b.targets["n"]
+	b.mu.Unlock()
+	w.up <- true
+	for n.slow.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	b.send(10 * time.Second)
+	if r := b.result(t); r.Code != spindlehitch.Delivered || w.asked.Load() != 2 {
+		t.Errorf("on the connection that came late: code %v, %d dials", r.Code, w.asked.Load())
+	}
+	b.Apply([]Target{{ID: "m", Addr: "a:2"}}, true)
+	b.Send(core.Attempt{Request: "x", Node: "m", Until: time.Now().Add(time.Minute)})
+	b.result(t)
+	b.Apply(nil, true) // with a dial of its under way
+	for b.conns.Load() > 0 {
+		time.Sleep(time.Millisecond) // until that has had its time
+	}
+}
+
 // TestConnectionsAreBounded checks both bounds: connections to one target, and to all of them together.
 func TestConnectionsAreBounded(t *testing.T) {
 	wait := make(chan bool)
