discovery: hand the address to its calls before a move can change it

At worst it reads half of one address and half of the other's length, which can end the process. Faulty line: the closure in watch; the address is now its argument. TestMoveAtOnce makes the detector report it each time without the change.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -162,10 +162,10 @@
 	for addr := w.addr; ctx.Err() == nil; {
 		at, leave := context.WithCancel(ctx)
 		left := make(chan struct{})
-		go func() {
+		go func(here string) { // not addr itself: a move may come before this starts
 			defer close(left)
-			w.watchAt(at, addr)
-		}()
+			w.watchAt(at, here)
+		}(addr)
 		select {
 		case <-ctx.Done():
 		case <-w.moves.Wake():
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -245,6 +245,30 @@
 	}
 }
 
+// TestMoveAtOnce has discovery move before the first address has been called: only the race detector sees what the two
+// would do to each other. The list is had from the second all the same.
+func TestMoveAtOnce(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("after") {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, list(4, true, one))
+	}))
+	t.Cleanup(s.Close)
+	for range 20 {
+		ctx, stop := context.WithCancel(context.Background())
+		told := make(chan int64, 64)
+		w := New("127.0.0.1:1", nil, 0, func(l *List) { told <- *l.Version }, slog.New(slog.DiscardHandler))
+		w.Move(strings.TrimPrefix(s.URL, "http://"))
+		go w.Run(ctx)
+		if got := <-told; got != 4 {
+			t.Errorf("told of version %d, want 4", got)
+		}
+		stop()
+	}
+}
+
 // TestBadLists names the field that cannot be used.
 func TestBadLists(t *testing.T) {
 	for _, c := range []struct{ name, in, want string }{
