upstream: let a connection rest after an answer, against a second one that crosses

Found by going through what ends an attempt: an answer that has come whole ends it, and its connection carries the next request at once. What comes while the connection rests shows in the look before its next use, and what comes with the answer shows in the read; but a copy that crosses the next request on its way is read as that one's answer, and nothing in it tells the client's request from another's. To serve it breaks the rule on lost requests.

Faulty lines: target.start, which takes the connection used last however short its rest. It now takes one that has rested for 10 ms, up to 4 connections to a target, and past these, or at the bounds of connections, any as before. A connection that has carried nothing yet need not rest.

TestSecondAnswerCrosses forces the crossing by the order of events: the second request is answered with the copy of the first without the change. TestSpoiltAnswers waits for the rest before it counts connections; its bounds are the same.

--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,6 +80,14 @@
 	slow   bool // its dial goes on without it
 }
 
+const (
+	// restFor is how long a connection rests after an answer, if there is another: targets send some a second time, some
+	// milliseconds later, and what crosses the next request on its way would pass for its answer.
+	restFor = 10 * time.Millisecond
+	// enoughConns is how many connections to one target are not added to for the sake of rest.
+	enoughConns = 4
+)
+
 // lateDials is how many times as long as an attempt waits for it a connection may take to come up at all.
 const lateDials = 8
 
@@ -140,19 +149,13 @@
 		t.report(r)
 		return
 	}
-	var c *conn
-	for len(t.idle) > 0 && c == nil {
-		last := len(t.idle) - 1
-		c, t.idle = t.idle[last], t.idle[:last]
-		if !c.Alive() {
-			// Closed by the target while idle: no byte of the attempt has been near it.
-			t.drop(c, "TARGET_CLOSED_IDLE")
-			c = nil
-		}
+	c := t.take(restFor)
+	if c == nil && t.conns >= enoughConns {
+		c = t.take(0)
 	}
-	if c == nil {
-		// Both bounds keep the process within its descriptors, whatever the number of targets.
-		if t.conns >= t.opt.MostConn || !t.count(1) {
+	// Both bounds keep the process within its descriptors, whatever the number of targets.
+	if c == nil && (t.conns >= t.opt.MostConn || !t.count(1)) {
+		if c = t.take(0); c == nil {
 			r.Code = spindlehitch.NoConnection
 			t.report(r)
 			return
@@ -164,6 +167,24 @@
 	go t.attempt(y, c)
 }
 
+// take returns the connection used last of those that have rested for so long and are still whole; nil: none.
+func (t *target) take(rest time.Duration) *conn {
+	now := time.Now()
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		c := t.idle[i]
+		if c.used > 0 && now.Sub(c.idleAt) < rest {
+			continue
+		}
+		t.idle = slices.Delete(t.idle, i, i+1)
+		if c.Alive() {
+			return c
+		}
+		// Closed by the target while idle, or it speaks unasked: no byte of the attempt has been near it.
+		t.drop(c, "TARGET_CLOSED_IDLE")
+	}
+	return nil
+}
+
 func (t *target) finish(m done) {
 	m.try.stop()
 	// A later attempt of the same request may have begun here since; its entry is not this one's.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -201,7 +201,7 @@
 			if took := time.Since(begun); took > 5*time.Second {
 				t.Errorf("%s: waited for %v", c.name, took)
 			}
-			time.Sleep(5 * time.Millisecond) // for what comes after the answer
+			time.Sleep(restFor + 5*time.Millisecond) // for what comes after the answer
 		}
 		if n := said.Load(); n > 20<<20 {
 			t.Errorf("%s: %d bytes were taken for two attempts", c.name, n)
@@ -358,6 +358,41 @@
 	}
 }
 
+// TestSecondAnswerCrosses has a target answer a request twice, the second time when the next request is on its way already:
+// that one must not be served with it. Past enough connections rest is no reason for another.
+func TestSecondAnswerCrosses(t *testing.T) {
+	next := make(chan bool)
+	s := newStandIn(t, func(n int32, _ *http.Request, c net.Conn) bool {
+		if n > 1 {
+			next <- true // the copy comes before this answer
+			<-next
+			return say(c, "200 OK", "second")
+		}
+		go func() {
+			<-next
+			say(c, "200 OK", "first")
+			next <- true
+		}()
+		return say(c, "200 OK", "first")
+	})
+	b := newBench(s.Addr().String())
+	for _, want := range []string{"first", "second"} {
+		b.send(10 * time.Second)
+		if r := b.result(t); r.Code != spindlehitch.Delivered || string(r.Payload.([]byte)) != want {
+			t.Errorf("code %v, answer %q, want %q", r.Code, r.Payload, want)
+		}
+	}
+	plain := newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool { return say(c, "200 OK", "") })
+	b = newBench(plain.Addr().String())
+	for range 20 {
+		b.send(10 * time.Second)
+		b.result(t)
+	}
+	if n := plain.accepted.Load(); n > enoughConns {
+		t.Errorf("%d connections for requests one after another, want %d at most", n, enoughConns)
+	}
+}
+
 // lateWire opens connections that come up when the test says so.
 type lateWire struct {
 	asked, gone atomic.Int32
