scheduler: begin no repeat after its window, and answer when the window has passed

Two instants were not kept:

- A further attempt is decided within the window, but its first byte leaves when its connection is up, up to 0.25 s later, and then outside: a second effect.
Send now tells by when its first byte must leave (Begin), and the upstream looks at it together with the target's state, just before that byte.
- A request that waits for a further attempt while its window passes can never be sent again: gate returns never.
It was held to the end of its client's time and answered then, though it had been given up long before. onOutcome now has it answered when the window has passed.

--- a/api.go
+++ b/api.go
@@ -210,5 +210,6 @@
 	Request string
 	Node    string
 	Wait    time.Duration
+	Begin   time.Duration // of a Send: its first byte must leave within that; 0: at any time
 	Text    string
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,6 +104,7 @@
 	Request string
 	Number  int
 	Node    string
+	Begin   time.Time // no first byte after that; zero: at any time
 	Until   time.Time // given up then
 	Payload any
 }
@@ -331,8 +332,11 @@
 	case spindlehitch.Send:
 		e.out, e.node, e.sentAt = true, a.Node, now
 		e.attempts++
-		c.up.Send(Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node,
-			Until: now.Add(a.Wait), Payload: e.job.Payload})
+		t := Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node, Until: now.Add(a.Wait), Payload: e.job.Payload}
+		if a.Begin > 0 {
+			t.Begin = now.Add(a.Begin)
+		}
+		c.up.Send(t)
 	case spindlehitch.Refuse:
 		c.answer(e, Answer{Ending: Refused, RetryAfter: a.Wait})
 		c.tidy(a.Request, e)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -23,7 +23,8 @@
 	t.Helper()
 	m, err := spindlehitch.New(spindlehitch.Settings{Initiators: 1, Tick: time.Millisecond, MeanUnits: 1, LargestUnits: 1,
 		Classes: []spindlehitch.Class{{Name: "get", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1},
-			{Name: "put", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Unsafe}},
+			{Name: "put", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Unsafe},
+			{Name: "keyed", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Keyed, Window: time.Second}},
 		Plans: []spindlehitch.Plan{{Name: "std", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}}}, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -202,6 +203,28 @@
 	}
 }
 
+// TestFurtherAttemptIsBound passes on by when an attempt must begin, where the module says so.
+func TestFurtherAttemptIsBound(t *testing.T) {
+	h := newHand(t)
+	var answers []Answer
+	for i, class := range []string{"get", "keyed"} {
+		h.step(h.now, []any{submitted{job(class, h.now, &answers)}})
+		begun := h.now
+		if len(h.up.sent) != 2*i+1 || !h.up.sent[2*i].Begin.IsZero() {
+			t.Fatalf("%s: attempts %+v, want one that may begin at any time", class, h.up.sent)
+		}
+		h.step(h.now, []any{Result{Request: h.up.sent[2*i].Request, Node: "n", Code: spindlehitch.Reset}})
+		h.later(300 * time.Millisecond)
+		if len(h.up.sent) != 2*i+2 {
+			t.Fatalf("%s: %d attempts, want a further one", class, len(h.up.sent))
+		}
+		if at, bound := h.up.sent[2*i+1].Begin, begun.Add(time.Second); class == "get" && !at.IsZero() || class == "keyed" && !at.Equal(bound) {
+			t.Errorf("%s: must begin by %v, of %v", class, at, bound)
+		}
+		h.step(h.now, []any{Result{Request: h.up.sent[2*i+1].Request, Number: 1, Node: "n", Code: spindlehitch.Delivered}})
+	}
+}
+
 // echo answers each attempt from many goroutines at once.
 type echo struct{ core *Core }
 
--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -416,7 +416,7 @@
 	s.SetDeadline(a.Until)
 	if !first() {
 		r.Code = spindlehitch.Moot
-		return r, false, "TARGET_LEAVES"
+		return r, false, "NOT_SENT"
 	}
 	if n, err := s.Write(capsule); n < len(capsule) {
 		r.Code = spindlehitch.NoConnection
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -98,7 +98,7 @@
 	// The last look before the first byte: news may have come while the connection was being made.
 	if !first() {
 		r.Code = spindlehitch.Moot
-		return r, false, "TARGET_LEAVES"
+		return r, false, "NOT_SENT"
 	}
 	if n, err := c.Write(whole); n < len(whole) {
 		r.Code = spindlehitch.NoConnection
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -326,7 +326,9 @@
 	c.used++
 	var reuse bool
 	var reason string
-	*r, reuse, reason = c.Do(y.Attempt, func() bool { return open(&t.state) })
+	*r, reuse, reason = c.Do(y.Attempt, func() bool {
+		return open(&t.state) && (y.Begin.IsZero() || time.Now().Before(y.Begin))
+	})
 	if y.calledOff() {
 		switch r.Code {
 		case spindlehitch.Delivered, spindlehitch.Moot, spindlehitch.NoConnection:
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -393,6 +393,23 @@
 	}
 }
 
+// TestRepeatTooLate has an attempt's connection come up when it may not begin any more: nothing of it is sent.
+func TestRepeatTooLate(t *testing.T) {
+	s := newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool { return say(c, "200 OK", "") })
+	b := newBench(s.Addr().String())
+	send := func(begin time.Time) core.Result {
+		b.Send(core.Attempt{Request: "r", Node: "n", Begin: begin, Until: time.Now().Add(time.Minute),
+			Payload: &Message{Method: "GET", URI: "/r/1", ID: "id"}})
+		return b.result(t)
+	}
+	if r := send(time.Now()); r.Code != spindlehitch.Moot || s.asked.Load() != 0 {
+		t.Errorf("too late: code %v, %d requests reached the target", r.Code, s.asked.Load())
+	}
+	if r := send(time.Now().Add(time.Minute)); r.Code != spindlehitch.Delivered {
+		t.Errorf("in time: code %v", r.Code)
+	}
+}
+
 // lateWire opens connections that come up when the test says so.
 type lateWire struct {
 	asked, gone atomic.Int32
--- a/scheduler.go
+++ b/scheduler.go
@@ -437,7 +437,11 @@
 	}
 	n.out = append(n.out, r)
 	wait := s.patience(n, r)
-	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: min(wait, max(r.due-s.now, s.set.Tick))})
+	a := Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: min(wait, max(r.due-s.now, s.set.Tick))}
+	if r.mayRun && r.class.Effect == Keyed {
+		a.Begin = r.ranSince + r.class.Window - s.now // its connection may take longer to come up than the repeat may wait
+	}
+	s.act(a)
 }
 
 // ---- Node health ----
@@ -689,6 +693,9 @@
 	case s.now >= r.by || !s.mayRepeat(r):
 		s.answer(r)
 	default:
+		if r.mayRun && r.class.Effect == Keyed {
+			r.by = min(r.by, r.ranSince+r.class.Window) // it could not be sent any more
+		}
 		// Further attempts wait a little longer each, the node's gate on top.
 		r.retryAt = s.now + s.quietAfter(n)*time.Duration(r.sent)/8
 		r.lane.hold(r)
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -737,3 +737,35 @@
 		t.Errorf("ends %v, want one", r.ends)
 	}
 }
+
+// TestRepeatWindow guards the window in which targets drop the repeat of a request that may have run: a further attempt
+// is told by when its first byte must leave, and a request that waits past the window is answered then, not at its end.
+func TestRepeatWindow(t *testing.T) {
+	set := plain()
+	set.Classes[0].Effect, set.Classes[0].Window = Keyed, 500*ms
+	r := newRig(t, set, Node{ID: "n"})
+	begun := r.now
+	r.step(req("a", "v", 1), req("b", "w", 1))
+	r.wait(50 * ms)
+	r.end("a", Reset, 50*ms)
+	r.end("b", Reset, 50*ms)
+	r.wait(200 * ms)
+	if len(r.sends) < 3 || r.sends[0].Begin != 0 {
+		t.Fatalf("sends %+v, want two first ones bound by nothing, and a further one", r.sends)
+	}
+	for i, a := range r.sends[2:] {
+		if a.Begin <= 0 || a.Begin > 450*ms {
+			t.Errorf("further attempt %d may begin within %v", i, a.Begin)
+		}
+	}
+	r.step(NodeList{Nodes: []Node{{ID: "n", State: Draining}}})
+	for _, a := range r.sends[2:] {
+		r.end(a.Request, NoConnection, 10*ms)
+	}
+	for len(r.ends) < 2 && r.now < begun+2*time.Second {
+		r.wait(5 * ms)
+	}
+	if took := r.now - begun; len(r.ends) != 2 || took > 550*ms {
+		t.Errorf("%d answered after %v, want both when the window has passed", len(r.ends), took)
+	}
+}
