upstream: call an attempt off also where its target has left the list

Found by going through what ends an attempt: a target that leaves the list ends once nothing is out at it, and the registry forgets it at once. The registry now keeps what has left the list until its actor ends, and Cancel reaches it, also when a target of the same id is listed again.

Ruled out: a first byte for a client that has gone. An attempt whose target has left the list is not begun.

Faulty lines: Apply's delete and Cancel's look-up. TestTimeOutClosesFirst has two more ways, which get no result without the change.

--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -35,12 +35,13 @@
 	report  func(core.Result)
 	mu      sync.Mutex
 	targets map[string]*target
-	conns   atomic.Int64 // of all targets, those being made included
+	gone    map[*target]bool // off the list, with something out still
+	conns   atomic.Int64     // of all targets, those being made included
 }
 
 // NewRegistry returns an empty registry; results go to report.
 func NewRegistry(opt Options, report func(core.Result)) *Registry {
-	return &Registry{opt: opt, report: report, targets: map[string]*target{}}
+	return &Registry{opt: opt, report: report, targets: map[string]*target{}, gone: map[*target]bool{}}
 }
 
 // Apply takes over entries of the list; with whole, a target that is absent is gone.
@@ -57,7 +58,12 @@
 			}
 			t = newTarget(x.ID, g.opt, &g.conns, g.report)
 			g.targets[x.ID] = t
-			go t.run()
+			go func() {
+				t.run()
+				g.mu.Lock()
+				delete(g.gone, t)
+				g.mu.Unlock()
+			}()
 		}
 		t.set(x.Addr, x.State)
 	}
@@ -68,6 +74,7 @@
 		// An actor of a target that is gone ends once nothing is out at it.
 		if t.state.Load() == int32(spindlehitch.Removed) {
 			delete(g.targets, id)
+			g.gone[t] = true
 			t.box.Put(retire{})
 		}
 	}
@@ -90,11 +97,15 @@
 // Cancel calls an attempt off; its connection is closed before its result is reported.
 func (g *Registry) Cancel(node, request string) {
 	g.mu.Lock()
-	t := g.targets[node]
-	g.mu.Unlock()
-	if t != nil {
+	defer g.mu.Unlock()
+	if t := g.targets[node]; t != nil {
 		t.box.Put(cancel{request})
 	}
+	for t := range g.gone { // it may have been sent there before the target left the list
+		if t.id == node {
+			t.box.Put(cancel{request})
+		}
+	}
 }
 
 // open tells whether something new may still go to the target.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -304,7 +304,7 @@
 
 // TestTimeOutClosesFirst checks that the target sees the connection end before the outcome is told.
 func TestTimeOutClosesFirst(t *testing.T) {
-	for _, way := range []string{"time-out", "cancel"} {
+	for _, way := range []string{"time-out", "cancel", "cancel off the list", "cancel at a namesake"} {
 		ended, asked := make(chan bool, 1), make(chan bool, 1)
 		s := newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool {
 			asked <- true
@@ -314,10 +314,16 @@
 		})
 		b := newBench(s.Addr().String())
 		want := spindlehitch.Expired
-		if way == "cancel" {
+		if way != "time-out" {
 			want = spindlehitch.Cancelled
 			b.send(time.Minute)
 			<-asked
+			if way != "cancel" {
+				b.Apply(nil, true)
+			}
+			if way == "cancel at a namesake" {
+				b.Apply([]Target{{ID: "n", Addr: s.Addr().String()}}, true)
+			}
 			b.Cancel("n", "1")
 		} else {
 			b.send(2 * time.Second)
@@ -331,6 +337,12 @@
 		case <-time.After(20 * time.Second):
 			t.Errorf("%s: the connection stayed open", way)
 		}
+		b.Apply(nil, true)
+		for left := true; left; time.Sleep(time.Millisecond) { // until the actors have ended
+			b.mu.Lock()
+			left = len(b.gone) > 0
+			b.mu.Unlock()
+		}
 	}
 }
 
