--- a/scheduler.go
+++ b/scheduler.go
@@ -439,7 +439,8 @@
 	wait := s.patience(n, r)
 	a := Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: min(wait, max(r.due-s.now, s.set.Tick))}
 	if r.mayRun && r.class.Effect == Keyed {
-		a.Begin = r.ranSince + r.class.Window - s.now // its connection may take longer to come up than the repeat may wait
+		// Its connection may take longer to come up than the repeat may wait.
+		a.Begin = r.ranSince + r.class.Window - s.now
 	}
 	s.act(a)
 }
