--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,8 +42,8 @@
 // machine has accepted but nobody has read from would be lost with the listener.
 const LingerFor = 450 * time.Millisecond
 
-// Leaving says how the program ends after SIGTERM, counted from there.
-type Leaving struct {
+// Shutdown is a graceful one: how the program ends after SIGTERM, counted from there.
+type Shutdown struct {
 	// ServeFor is how long a front goes on with what comes on connections that it has: their clients know no other way,
 	// and go without until the successor is up.
 	ServeFor time.Duration
@@ -62,10 +62,10 @@
 	killMargin = 200 * time.Millisecond
 )
 
-// LeavingFor is the end that fits clients who wait for so long at the longest.
-func LeavingFor(longest time.Duration) Leaving {
+// ShutdownFor is the end that fits clients who wait for so long at the longest.
+func ShutdownFor(longest time.Duration) Shutdown {
 	by := min(mostAnswerBy, min(longest, killMost)+killAfter-killMargin)
-	return Leaving{ServeFor: max(by-answerWithin, LingerFor), AnswerBy: by}
+	return Shutdown{ServeFor: max(by-answerWithin, LingerFor), AnswerBy: by}
 }
 
 // Pause waits until then, or until the context ends.
@@ -78,7 +78,7 @@
 
 // Cut shortens a patience so that the answer is there by AnswerBy, for a request taken after LingerFor; left is the
 // moment of SIGTERM, nil before it.
-func (l Leaving) Cut(patience time.Duration, arrived time.Time, left *time.Time) time.Duration {
+func (s Shutdown) Cut(patience time.Duration, arrived time.Time, left *time.Time) time.Duration {
 	if left == nil {
 		return patience
 	}
@@ -86,7 +86,7 @@
 	if since <= LingerFor {
 		return patience
 	}
-	return max(min(patience, l.AnswerBy-since), 0)
+	return max(min(patience, s.AnswerBy-since), 0)
 }
 
 // Job is a request as a front hands it over. ID and Budget are the core's to fill.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -284,13 +284,13 @@
 	}
 }
 
-// TestLeavingEndsBeforeKill guards against an end as long as one site's deadlines allow: where clients wait for less,
+// TestShutdownEndsBeforeKill guards against an end as long as one site's deadlines allow: where clients wait for less,
 // SIGKILL comes sooner, and what it finds without an answer is lost.
-func TestLeavingEndsBeforeKill(t *testing.T) {
+func TestShutdownEndsBeforeKill(t *testing.T) {
 	for ms := 300; ms < 10000; ms += 100 {
 		longest := time.Duration(ms) * time.Millisecond
 		kill := min(longest, 3*time.Second) + 700*time.Millisecond
-		l := LeavingFor(longest)
+		l := ShutdownFor(longest)
 		if l.AnswerBy > kill-100*time.Millisecond || l.ServeFor < LingerFor || l.ServeFor > l.AnswerBy {
 			t.Errorf("clients wait for %v, killed after %v: serves for %v, answers by %v", longest, kill, l.ServeFor, l.AnswerBy)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -64,7 +64,7 @@
 	http     http.Server
 	listener atomic.Pointer[net.Listener]
 	conns    *connTable
-	end      core.Leaving
+	shutdown core.Shutdown
 	left     atomic.Pointer[time.Time] // when Stop was called
 	ending   atomic.Bool               // each answer is its connection's last
 }
@@ -72,8 +72,8 @@
 // New returns a front for the core.
 func New(c Core, opt Options) *Server {
 	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.EasyConn, opt.Log),
-		end: core.LeavingFor(opt.Longest)}
-	s.http = http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: idleFor + idleFor/2 + s.end.ServeFor, MaxHeaderBytes: maxHead,
+		shutdown: core.ShutdownFor(opt.Longest)}
+	s.http = http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: idleFor + idleFor/2 + s.shutdown.ServeFor, MaxHeaderBytes: maxHead,
 		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelWarn)}
 	return s
 }
@@ -112,12 +112,12 @@
 	if l := s.listener.Load(); l != nil {
 		(*l).Close()
 	}
-	core.Pause(ctx, now.Add(s.end.ServeFor))
+	core.Pause(ctx, now.Add(s.shutdown.ServeFor))
 	// Not by http.Server.Shutdown: it closes what net/http calls idle, and that may have a request half read.
 	s.ending.Store(true)
 	tick := time.NewTicker(endEvery)
 	defer tick.Stop()
-	for s.conns.endUnasked(time.Since(now) >= s.end.AnswerBy) > 0 {
+	for s.conns.endUnasked(time.Since(now) >= s.shutdown.AnswerBy) > 0 {
 		select {
 		case <-ctx.Done():
 			return errors.Join(ctx.Err(), s.http.Close())
@@ -159,7 +159,7 @@
 	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		panic(http.ErrAbortHandler)
 	}
-	j.Patience = s.end.Cut(j.Patience, arrived, s.left.Load())
+	j.Patience = s.shutdown.Cut(j.Patience, arrived, s.left.Load())
 	// The core's goroutine must not wait for a client: the answer has a place of its own.
 	final := make(chan core.Answer, 1)
 	j.Arrived, j.Payload, j.Done = arrived, m, func(a core.Answer) { final <- a }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -548,13 +548,13 @@
 	if resp, body, _ := say(t, kept, strings.Replace(good, "480", "9999", 1)); resp.StatusCode != 200 || body != "kept" {
 		t.Errorf("on a connection from before: %d, %q", resp.StatusCode, body)
 	}
-	if p := <-served; p > s.end.AnswerBy-core.LingerFor {
+	if p := <-served; p > s.shutdown.AnswerBy-core.LingerFor {
 		t.Errorf("it may take %v, past the end", p)
 	}
 	select {
 	case <-stopped:
 		t.Error("ended with a request open")
-	case <-time.After(s.end.ServeFor):
+	case <-time.After(s.shutdown.ServeFor):
 	}
 	j.Done(core.Answer{Payload: []byte("late")})
 	wait.Wait()
@@ -585,7 +585,7 @@
 	for s.left.Load() == nil {
 		time.Sleep(time.Millisecond)
 	}
-	core.Pause(context.Background(), s.left.Load().Add(s.end.ServeFor-requestWithin/4))
+	core.Pause(context.Background(), s.left.Load().Add(s.shutdown.ServeFor-requestWithin/4))
 	for _, c := range []net.Conn{used, fresh} {
 		io.WriteString(c, good[:len(good)/2])
 	}
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -41,14 +41,14 @@
 
 // Server is the NVMe over TCP front.
 type Server struct {
-	opt     Options
-	core    Core
-	spaces  map[uint32]*Namespace
-	bytes   atomic.Int64
-	open    atomic.Int64              // commands in the core
-	left    atomic.Pointer[time.Time] // when Stop was called
-	leaving atomic.Bool               // new commands are turned away
-	end     core.Leaving
+	opt      Options
+	core     Core
+	spaces   map[uint32]*Namespace
+	bytes    atomic.Int64
+	open     atomic.Int64              // commands in the core
+	left     atomic.Pointer[time.Time] // when Stop was called
+	leaving  atomic.Bool               // new commands are turned away
+	shutdown core.Shutdown
 
 	mu          sync.Mutex
 	controllers map[uint16]*controller
@@ -65,7 +65,7 @@
 	for _, d := range opt.Patience {
 		longest = max(longest, d)
 	}
-	s.end = core.LeavingFor(longest)
+	s.shutdown = core.ShutdownFor(longest)
 	for i := range opt.Namespaces {
 		s.spaces[opt.Namespaces[i].ID] = &s.opt.Namespaces[i]
 	}
@@ -185,7 +185,7 @@
 		s.listener.Close()
 	}
 	s.mu.Unlock()
-	core.Pause(ctx, now.Add(s.end.ServeFor))
+	core.Pause(ctx, now.Add(s.shutdown.ServeFor))
 	s.leaving.Store(true)
 	for s.open.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(2 * time.Millisecond)
@@ -510,7 +510,7 @@
 func (q *queue) submit(p *pending) {
 	ns := q.server.spaces[p.io.NSID]
 	j := &core.Job{Request: ns.request(p.io), Arrived: time.Now(), Payload: p.io}
-	j.Patience = q.server.end.Cut(q.server.opt.Patience[j.Class], j.Arrived, q.server.left.Load())
+	j.Patience = q.server.shutdown.Cut(q.server.opt.Patience[j.Class], j.Arrived, q.server.left.Load())
 	delays := q.ctrl.wantsDelays()
 	j.Done = func(a core.Answer) {
 		st := statusOf(a, delays)
