upstream: test a client that goes while its attempt's connection comes up

The order is forced: connect, cancel, hand the connection over. Nothing is sent for the client that has gone, and the next attempt has the connection, which it has only since late connections are kept.

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -485,6 +485,47 @@
 	}
 }
 
+// TestGoneWhileConnecting has the client go while its attempt's connection comes up: nothing of it is sent, on that
+// connection or on another, and the next attempt has the connection.
+func TestGoneWhileConnecting(t *testing.T) {
+	s := newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool { return say(c, "200 OK", "") })
+	w := &heldWire{HTTP: NewHTTP(0), came: make(chan bool), held: make(chan bool)}
+	b := &bench{results: make(chan core.Result, 64)}
+	b.Registry = NewRegistry(Options{Wire: w, Dial: 20 * time.Second, Idle: time.Minute, MostConn: 4, MostAll: 6,
+		Log: slog.New(slog.DiscardHandler)}, func(r core.Result) { b.results <- r })
+	b.Apply([]Target{{ID: "n", Addr: s.Addr().String()}}, true)
+	b.send(time.Minute)
+	<-w.came
+	b.Cancel("n", "1")
+	if r := b.result(t); r.Code != spindlehitch.NoConnection || r.Request != "1" {
+		t.Errorf("code %v of request %s, want no connection", r.Code, r.Request)
+	}
+	close(w.held)
+	b.mu.Lock()
+	n := b.targets["n"]
+	b.mu.Unlock()
+	for n.slow.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	b.send(time.Minute)
+	if r := b.result(t); r.Code != spindlehitch.Delivered || s.asked.Load() != 1 || s.accepted.Load() != 1 {
+		t.Errorf("afterwards: code %v, %d requests on %d connections, want one on one", r.Code, s.asked.Load(), s.accepted.Load())
+	}
+}
+
+// heldWire connects at once, and hands the connection over when the test says so.
+type heldWire struct {
+	HTTP
+	came, held chan bool
+}
+
+func (w *heldWire) Dial(ctx context.Context, addr string) (Session, error) {
+	s, err := w.HTTP.Dial(ctx, addr)
+	w.came <- true
+	<-w.held
+	return s, err
+}
+
 // TestConnectionsAreBounded checks both bounds: connections to one target, and to all of them together.
 func TestConnectionsAreBounded(t *testing.T) {
 	wait := make(chan bool)
