front: close an evicted connection outside the lock that its reader takes

Cause: evict closed the connection while it held the lock that a read takes. Close of a connection waits for the reads that have begun on it, and such a read waits for the lock: both for ever, and with them the connections' table, and so every accept of that initiator. Found by following what Close waits for; TestEvictionDuringRead stops a read when it has begun and closes then ("the eviction and the read wait for each other" without the change).

--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -283,11 +283,15 @@
 // closed, unless it was refused: it is asking just now. The table is locked.
 func (t *connTable) evict(c *clientConn, phase int32, reason string) bool {
 	c.taking.Lock()
-	defer c.taking.Unlock()
-	if phase != spent && !upstream.Quiet(c.Conn) || !c.phase.CompareAndSwap(phase, evicted) {
+	free := (phase == spent || upstream.Quiet(c.Conn)) && c.phase.CompareAndSwap(phase, evicted)
+	if free {
+		c.end(reason)
+	}
+	// Not while closing: Close waits for a read that has begun, and that one waits for the lock.
+	c.taking.Unlock()
+	if !free {
 		return false
 	}
-	c.end(reason)
 	c.Conn.Close()
 	delete(t.open, c)
 	return true
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -656,6 +656,66 @@
 	}
 }
 
+// inRead stops a read when it has begun, before it takes any byte.
+type inRead struct {
+	syscall.RawConn
+	begun, on chan bool
+}
+
+func (r inRead) Read(f func(uintptr) bool) error {
+	return r.RawConn.Read(func(fd uintptr) bool {
+		r.begun <- true
+		<-r.on
+		return f(fd)
+	})
+}
+
+// TestEvictionDuringRead closes a quiet connection while a read on it has begun: Close waits for that read, so neither
+// may wait for the other, or the table with all its connections stands still.
+func TestEvictionDuringRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	in, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
+	c := table.add(in)
+	read := inRead{c.raw, make(chan bool), make(chan bool)}
+	c.raw = read
+	ended, closed := make(chan error, 1), make(chan bool, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 8))
+		ended <- err
+	}()
+	<-read.begun
+	go func() {
+		table.mu.Lock()
+		defer table.mu.Unlock()
+		closed <- table.evict(c, quiet, "CAP")
+	}()
+	for c.phase.Load() != evicted {
+		time.Sleep(time.Millisecond)
+	}
+	read.on <- true
+	select {
+	case ok := <-closed:
+		if err := <-ended; !ok || !errors.Is(err, net.ErrClosed) {
+			t.Errorf("closed %v, the read ended with %v", ok, err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the eviction and the read wait for each other")
+	}
+}
+
 // TestReadyNeedsAList checks that no client is invited before there is anywhere to send to.
 func TestReadyNeedsAList(t *testing.T) {
 	s, _, _ := newFront(t, 64)
