Log what happens to each request, and the request on each connection that ends

Cause: the logs told why connections ended, but not which request was on them, nor when an attempt was decided, when its first byte left, and why a request was refused or given up. Whether an attempt began after its client left could not be seen.

--- a/api.go
+++ b/api.go
@@ -4,7 +4,10 @@
 // The decisions are in scheduler.go; this file is the whole interface.
 package spindlehitch
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Effect says what a class allows to happen twice.
 type Effect int
@@ -98,6 +101,12 @@
 	Removed
 )
 
+// stateNames are the states as logs tell them.
+var stateNames = [...]string{Up: "UP", Draining: "DRAINING", Removed: "REMOVED"}
+
+// String returns the state's name.
+func (s NodeState) String() string { return stateNames[s] }
+
 // Node is an entry of the node list.
 type Node struct {
 	ID      string
@@ -149,6 +158,18 @@
 	Moot
 )
 
+// codeNames are the outcomes as logs tell them.
+var codeNames = [...]string{Delivered: "DELIVERED", Errored: "ERRORED", Full: "FULL", Expired: "EXPIRED",
+	NoConnection: "NO_CONNECTION", Reset: "RESET", Cancelled: "CANCELLED", Moot: "MOOT"}
+
+// String returns the outcome's name.
+func (c Code) String() string {
+	if c < 0 || int(c) >= len(codeNames) {
+		return fmt.Sprintf("CODE_%d", int(c))
+	}
+	return codeNames[c]
+}
+
 // MayRun tells whether an attempt that ended so may have run.
 func (c Code) MayRun() bool { return c != Full && c != NoConnection && c != Moot }
 
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -31,12 +31,13 @@
 func serveCommand() *cobra.Command {
 	var operator string
 	var agents []string
+	var level slog.Level
 	cmd := &cobra.Command{
 		Use:   "serve",
 		Short: "Run one initiator, as the environment and its configuration say",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+			log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 			stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer cancel()
 			// Taken from the start on: a SIGHUP that nobody waits for would end the process.
@@ -58,6 +59,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&operator, "operator", "", "an operator's file (TOML), such as deploy/nvme.toml")
+	cmd.Flags().TextVar(&level, "log-level", slog.LevelInfo, "the least level that is logged: debug tells what happens to each request")
 	cmd.Flags().StringSliceVar(&agents, "agents", nil, "take the configuration of PROXY_NAME from these agents, and follow its changes")
 	return cmd
 }
@@ -120,7 +122,7 @@
 	var c *core.Core
 	up := upstream.NewRegistry(upstream.Options{Wire: wire, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
 		MostConn: cfg.TargetConns(), MostAll: cfg.AllTargetConns(), Log: log}, func(r core.Result) { c.Report(r) })
-	c = core.New(module, up, core.NewClock(), core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin})
+	c = core.New(module, up, core.NewClock(), core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, Log: log})
 	var listed atomic.Bool
 	// The targets' actors hear before the module does: a send decided on the older list meets the newer one.
 	tell := func(l *discovery.List) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,7 @@
 type Options struct {
 	MostHeld int           // requests open at a time
 	Margin   time.Duration // an answer must be written this long before the client leaves
+	Log      *slog.Logger  // what happens to each request, at debug level; nil: nowhere
 }
 
 // Core is the module's actor.
@@ -69,6 +71,9 @@
 
 // New returns a core; Run starts it.
 func New(m *spindlehitch.Scheduler, up Upstream, clock Clock, opt Options) *Core {
+	if opt.Log == nil {
+		opt.Log = slog.New(slog.DiscardHandler)
+	}
 	return &Core{module: m, up: up, clock: clock, opt: opt, box: mailbox.New[any](), open: map[string]*entry{},
 		named: map[string]bool{}, ran: [2]map[string]bool{{}, {}}}
 }
@@ -158,6 +163,7 @@
 		// copy. An honest repeat, of a request that was never read here, meets neither.
 		if c.named[j.Name] || c.ran[0][j.Name] || c.ran[1][j.Name] {
 			c.held.Add(-1)
+			c.trace("request ended", j, slog.String("reason", Conflict.String()))
 			j.Done(Answer{Ending: Conflict})
 			return
 		}
@@ -167,6 +173,8 @@
 	j.ID = strconv.FormatUint(c.seq, 10)
 	// The client's time runs from the arrival, and the answer has to be out before it ends.
 	j.Budget = j.Patience - now.Sub(j.Arrived) - c.opt.Margin
+	c.trace("request taken", j, slog.String("class", j.Class), slog.Duration("patience", j.Patience),
+		slog.Duration("age", now.Sub(j.Arrived)))
 	c.open[j.ID] = &entry{job: j}
 	c.events = append(c.events, j.Request)
 }
@@ -174,6 +182,7 @@
 func (c *Core) depart(j *Job) {
 	if e := c.open[j.ID]; e != nil && e.job == j && !e.answered {
 		e.answered = true
+		c.trace("request ended", j, slog.String("reason", "CLIENT_LEFT"), slog.Int("attempts", e.attempts), slog.Bool("out", e.out))
 		if e.out {
 			c.up.Cancel(e.node, j.ID) // no one is left to answer
 		}
@@ -189,6 +198,8 @@
 	}
 	e.out, e.last = false, r.Code
 	e.mayRun = e.mayRun || r.Code.MayRun()
+	c.trace("attempt ended", e.job, slog.Int("attempt", r.Number), slog.String("node", r.Node),
+		slog.String("reason", r.Code.String()), slog.Duration("took", now.Sub(e.sentAt)))
 	if r.Code == spindlehitch.Delivered {
 		c.answer(e, Answer{Ending: Served, Payload: r.Payload})
 	}
@@ -218,7 +229,9 @@
 	case spindlehitch.Send:
 		e.out, e.node, e.sentAt = true, a.Node, now
 		e.attempts++
-		t := Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node, Until: now.Add(a.Wait), Payload: e.job.Payload}
+		t := Attempt{Request: a.Request, Name: e.job.Name, Number: e.attempts - 1, Node: a.Node, Until: now.Add(a.Wait),
+			Payload: e.job.Payload}
+		c.trace("attempt decided", e.job, slog.Int("attempt", t.Number), slog.String("node", t.Node), slog.Duration("wait", a.Wait))
 		if a.Begin > 0 {
 			t.Begin = now.Add(a.Begin)
 		}
@@ -239,9 +252,19 @@
 	}
 	e.answered = true
 	a.Last = e.last
+	c.trace("request ended", e.job, slog.String("reason", a.Ending.String()), slog.Int("attempts", e.attempts),
+		slog.String("last", e.last.String()), slog.Duration("after", time.Since(e.job.Arrived)))
 	e.job.Done(a)
 }
 
+// trace logs what happens to a request, if anyone wants to know.
+func (c *Core) trace(event string, j *Job, attrs ...slog.Attr) {
+	if c.opt.Log.Enabled(context.Background(), slog.LevelDebug) {
+		attrs = append(attrs, slog.String("request", j.Name))
+		c.opt.Log.LogAttrs(context.Background(), slog.LevelDebug, event, attrs...)
+	}
+}
+
 func (c *Core) tidy(id string, e *entry) {
 	if e.answered && !e.out {
 		delete(c.open, id)
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -20,6 +20,12 @@
 	Conflict
 )
 
+// endingNames are the endings as logs tell them.
+var endingNames = [...]string{Served: "SERVED", Refused: "REFUSED", Failed: "FAILED", Conflict: "CONFLICT"}
+
+// String returns the ending's name.
+func (e Ending) String() string { return endingNames[e] }
+
 // Answer is the one final answer of a request.
 type Answer struct {
 	Ending     Ending
@@ -44,6 +50,7 @@
 // Attempt is one try of a request at a target.
 type Attempt struct {
 	Request string
+	Name    string // the client's own for the request, for logs
 	Number  int
 	Node    string
 	Begin   time.Time // no first byte after that; zero: at any time
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -28,6 +28,9 @@
 	evicted              // closed to make room; nothing read from it counts any more
 )
 
+// phaseNames are the phases as logs tell them.
+var phaseNames = [...]string{quiet: "QUIET", reading: "READING", active: "ACTIVE", spent: "REFUSED", evicted: "EVICTED"}
+
 // clientConn notes when a client's bytes came and why its connection ended.
 type clientConn struct {
 	net.Conn
@@ -37,6 +40,7 @@
 	asked  atomic.Int64              // requests of which a head has come
 	used   atomic.Bool               // a request has been answered on it
 	reason atomic.Pointer[string]
+	open   atomic.Pointer[string] // the id of the request that is open; nil: none is
 	phase  atomic.Int32
 	ahead  chan struct{} // closed once more than one request has come at a time; nil: not watched
 	once   sync.Once
@@ -135,6 +139,14 @@
 	}
 }
 
+// openRequest is the id of the request that is open, for logs; empty: none is.
+func (c *clientConn) openRequest() string {
+	if id := c.open.Load(); id != nil {
+		return *id
+	}
+	return ""
+}
+
 // end notes the first reason that is one.
 func (c *clientConn) end(reason string) {
 	if reason != "" {
@@ -347,6 +359,7 @@
 		cc.since = time.Now()
 		t.mu.Unlock()
 		cc.used.Store(true)
+		cc.open.Store(nil)
 		cc.phase.CompareAndSwap(active, quiet)
 	case http.StateClosed, http.StateHijacked:
 		t.mu.Lock()
@@ -361,7 +374,8 @@
 			reason = *p
 		}
 		t.log.Info("connection ended", slog.String("side", "client"), slog.String("peer", c.RemoteAddr().String()),
-			slog.String("reason", reason), slog.Int64("requests", cc.asked.Load()))
+			slog.String("reason", reason), slog.Int64("requests", cc.asked.Load()), slog.String("request", cc.openRequest()),
+			slog.String("phase", phaseNames[cc.phase.Load()]))
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -151,6 +151,7 @@
 		refuseBad(w, r, conn, f)
 		return
 	}
+	conn.open.Store(&j.Name)
 	conn.claim()
 	if len(m.Body) > 0 {
 		arrived = conn.arrival()
@@ -194,6 +195,7 @@
 			}
 		case <-left:
 		}
+		conn.end("CLIENT_LEFT")
 		s.core.Depart(j)
 		// A plain return would be answered with an empty 200, which no target made.
 		panic(http.ErrAbortHandler)
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -69,6 +69,14 @@
 	idleAt time.Time
 }
 
+// rested is how long ago the connection brought its last answer; 0: it is new.
+func (c *conn) rested() time.Duration {
+	if c.idleAt.IsZero() {
+		return 0
+	}
+	return time.Since(c.idleAt)
+}
+
 // try is one attempt under way.
 type try struct {
 	core.Attempt
@@ -100,7 +108,10 @@
 	if addr != "" {
 		t.addr.Store(&addr)
 	}
-	t.state.Store(int32(state))
+	if before := spindlehitch.NodeState(t.state.Swap(int32(state))); before != state {
+		t.opt.Log.LogAttrs(context.Background(), slog.LevelDebug, "target changed", slog.String("peer", t.id),
+			slog.String("from", before.String()), slog.String("to", state.String()))
+	}
 	t.box.Put(moved{})
 }
 
@@ -242,7 +253,7 @@
 func (t *target) drop(c *conn, reason string) {
 	c.Close()
 	t.count(-1)
-	t.logEnd(c.used, reason)
+	t.logEnd(c.used, reason, "")
 }
 
 func (t *target) address() string {
@@ -252,9 +263,10 @@
 	return ""
 }
 
-func (t *target) logEnd(used int, reason string) {
+// logEnd logs why a connection ended, and the request that was on it; empty: none was.
+func (t *target) logEnd(used int, reason, request string) {
 	t.opt.Log.Info("connection ended", slog.String("side", "target"), slog.String("peer", t.id),
-		slog.String("reason", reason), slog.Int("requests", used))
+		slog.String("reason", reason), slog.Int("requests", used), slog.String("request", request))
 }
 
 // attempt carries one attempt through connect and exchange and reports its outcome. Where it ends early, the
@@ -273,7 +285,7 @@
 		}
 	}
 	if again == nil {
-		t.logEnd(used, reason)
+		t.logEnd(used, reason, y.Name)
 	}
 	r.Request, r.Number, r.Node = y.Request, y.Number, t.id
 	// The pool hears first, so that a send decided on this outcome finds the connection.
@@ -324,6 +336,8 @@
 		return nil, "CANCELLED"
 	}
 	c.used++
+	t.opt.Log.LogAttrs(y.ctx, slog.LevelDebug, "attempt begins", slog.String("request", y.Name), slog.Int("attempt", y.Number),
+		slog.String("peer", t.id), slog.Int("requests", c.used), slog.Duration("rested", c.rested()))
 	var reuse bool
 	var reason string
 	*r, reuse, reason = c.Do(y.Attempt, func() bool {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -125,7 +125,7 @@
 	}()
 	c := &deadlineConn{Conn: near}
 	var r core.Result
-	y := &try{Attempt: core.Attempt{Until: time.Now().Add(time.Minute), Payload: &Message{Method: "GET", URI: "/"}}}
+	y := &try{ctx: t.Context(), Attempt: core.Attempt{Until: time.Now().Add(time.Minute), Payload: &Message{Method: "GET", URI: "/"}}}
 	if again, reason := tg.exchange(y, &conn{Session: &httpSession{c, "", NewHTTP(0).room}}, &r); again == nil || !c.at.IsZero() {
 		t.Errorf("kept %v (%s), deadline left %v; want it kept with none", again, reason, c.at)
 	}
@@ -364,7 +364,7 @@
 	near, far := net.Pipe()
 	defer far.Close()
 	var r core.Result
-	y := &try{Attempt: core.Attempt{Until: time.Now().Add(time.Minute), Payload: &Message{Method: "GET", URI: "/"}}}
+	y := &try{ctx: t.Context(), Attempt: core.Attempt{Until: time.Now().Add(time.Minute), Payload: &Message{Method: "GET", URI: "/"}}}
 	if again, _ := tg.exchange(y, &conn{Session: &httpSession{near, "", NewHTTP(0).room}}, &r); again != nil || r.Code != spindlehitch.Moot {
 		t.Errorf("first byte: code %v, want it not sent", r.Code)
 	}
