Test: an attempt begins after its client has left (fails)

Symptom: an attempt reaches a target 0.14 s after its client closed the connection; 0.1 s are allowed. Change: internal/faulttest runs the real program against stand-ins of clients, targets and discovery and judges each request by the protocol's rules; its first test holds the process up (SIGSTOP) for 0.14 s while clients ask and leave.

--- /dev/null
+++ b/internal/faulttest/client.go
@@ -0,0 +1,212 @@
+package faulttest
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Request is what a client asks, and how it goes about it.
+type Request struct {
+	ID       string
+	Class    Class
+	Shard    int
+	Patience time.Duration
+	Body     string        // of a write; empty: a read
+	Pieces   int           // it is written in so many pieces; 0: at once
+	PieceGap time.Duration // with so much time between them
+	Leaves   bool          // the client goes without waiting for the answer
+	LeaveAt  time.Duration // so long after the request's last byte
+	ByReset  bool          // and resets the connection then, in place of closing it
+}
+
+// wire is the request as bytes.
+func (q Request) wire() string {
+	method := "GET"
+	if q.Body != "" {
+		method = "PUT"
+	}
+	head := fmt.Sprintf("%s /%s/%016x HTTP/1.1\r\nHost: a\r\nRequest-Id: %s\r\nTier: std\r\nRequest-Timeout-Ms: %d\r\n"+
+		"IO-Info: volume=%016x,units=1,shard=%d,hosts=1\r\n", method, q.Class.Name, 7, q.ID, q.Patience.Milliseconds(), 3, q.Shard)
+	if q.Body != "" {
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(q.Body))
+	}
+	return head + "\r\n" + q.Body
+}
+
+// crossing is how long after a request's last byte the end of its connection may come that was on its way before:
+// later, the initiator had the request and ended the connection over it.
+const crossing = 5 * time.Millisecond
+
+// giveUp is how long past its time, and the slack that is judged, a client waits for an answer.
+const giveUp = 200 * time.Millisecond
+
+// mostSends is how often a client writes a request whose connection ended unread.
+const mostSends = 3
+
+// Client is a stand-in for the usual clients of one initiator: they keep their connections, and open more when all are
+// busy.
+type Client struct {
+	Addr   string
+	ledger *Ledger
+	killed atomic.Bool
+	mu     sync.Mutex
+	idle   []net.Conn
+}
+
+// NewClient returns clients of the initiator at addr.
+func NewClient(addr string, ledger *Ledger) *Client { return &Client{Addr: addr, ledger: ledger} }
+
+// Killed notes that the initiator is about to be killed without notice: what is open then is not held against it.
+func (c *Client) Killed(yes bool) { c.killed.Store(yes) }
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.idle {
+		n.Close()
+	}
+	c.idle = nil
+}
+
+// Connect returns an idle connection, or a new one.
+func (c *Client) connect() (n net.Conn, reused bool, err error) {
+	c.mu.Lock()
+	if last := len(c.idle) - 1; last >= 0 {
+		n = c.idle[last]
+		c.idle = c.idle[:last]
+	}
+	c.mu.Unlock()
+	if n != nil {
+		return n, true, nil
+	}
+	n, err = net.DialTimeout("tcp", c.Addr, time.Second)
+	return n, false, err
+}
+
+// Do asks, and notes how the request ended. It asks again on a new connection where the first ended unread.
+func (c *Client) Do(q Request) Outcome {
+	for sends := 1; ; sends++ {
+		n, reused, err := c.connect()
+		if err != nil {
+			return Outcome{Text: err.Error(), Unread: true}
+		}
+		o, keep := c.exchange(n, reused, q)
+		if keep {
+			c.mu.Lock()
+			c.idle = append(c.idle, n)
+			c.mu.Unlock()
+		} else {
+			n.Close()
+		}
+		if !o.Unread || sends == mostSends || q.Leaves {
+			c.ledger.edit(q.ID, func(r *record) { r.outcomes = append(r.outcomes, o) })
+			return o
+		}
+	}
+}
+
+// exchange writes a request and reads its answer.
+func (c *Client) exchange(n net.Conn, reused bool, q Request) (o Outcome, keep bool) {
+	if err := writePieces(n, q); err != nil {
+		return Outcome{Text: err.Error(), Unread: true}, false
+	}
+	taken := time.Now()
+	c.ledger.edit(q.ID, func(r *record) {
+		r.taken, r.patience, r.unsafe = taken, q.Patience, q.Class.Unsafe
+	})
+	if q.Leaves {
+		time.Sleep(q.LeaveAt)
+		c.ledger.edit(q.ID, func(r *record) { r.left = time.Now() })
+		if q.ByReset {
+			reset(n)
+		}
+		return Outcome{Text: "left", At: time.Now()}, false
+	}
+	n.SetReadDeadline(taken.Add(q.Patience + answerSlack + giveUp))
+	defer n.SetReadDeadline(time.Time{})
+	resp, err := http.ReadResponse(bufio.NewReader(n), nil)
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(resp.Body)
+	}
+	o.At = time.Now()
+	o.After = o.At.Sub(taken)
+	if err != nil {
+		o.Text = err.Error()
+		o.Killed = c.killed.Load()
+		ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+		o.Unread = resp == nil && (errors.Is(err, syscall.ECONNRESET) ||
+			ended && reused && o.After < crossing+c.ledger.delays.Most(taken, o.At))
+		return o, false
+	}
+	o.Status, o.Text = resp.StatusCode, string(body)
+	return o, !resp.Close
+}
+
+// writePieces writes a request, in pieces where it says so.
+func writePieces(n net.Conn, q Request) error {
+	whole := q.wire()
+	size := len(whole)/max(q.Pieces, 1) + 1
+	for len(whole) > 0 {
+		piece := whole[:min(size, len(whole))]
+		if _, err := io.WriteString(n, piece); err != nil {
+			return err
+		}
+		if whole = whole[len(piece):]; whole != "" {
+			time.Sleep(q.PieceGap)
+		}
+	}
+	return nil
+}
+
+// Misbehaviour is what a bad client sends.
+type Misbehaviour string
+
+// Misbehaviours are what bad clients send; each is owed an error or an end.
+var Misbehaviours = []Misbehaviour{
+	"\x16\x03\x01noise\r\n\r\n",
+	"GET / HTTP/1.1\r\nA: " + Misbehaviour(strings.Repeat("b", 40<<10)),
+	"PUT /read/0000000000000007 HTTP/1.1\r\nHost: a\r\nContent-Length: -4\r\n\r\nbody",
+	"PUT /read/0000000000000007 HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000000\r\n\r\nbody",
+	"PUT /read/0000000000000007 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"GET /nothing/0000000000000007 HTTP/1.1\r\nHost: a\r\n\r\n",
+	"GET /read/0000000000000007 HTTP/1.1\r\nHo",
+	"G",
+}
+
+// Misbehave sends what a bad client sends, and tells whether it had an error or an end within the time it is owed one.
+func Misbehave(addr string, m Misbehaviour) error {
+	n, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return nil // no longer listening is an end
+	}
+	defer n.Close()
+	begun := time.Now()
+	go io.WriteString(n, string(m))
+	n.SetReadDeadline(begun.Add(badClientWithin))
+	resp, err := http.ReadResponse(bufio.NewReader(n), nil)
+	switch {
+	case err == nil && resp.StatusCode >= 400:
+		return nil
+	case err == nil:
+		return fmt.Errorf("%.30q was answered with status %d", m, resp.StatusCode)
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return fmt.Errorf("%.30q had neither an error nor an end within %v", m, badClientWithin)
+	}
+	return nil
+}
+
+// badClientWithin is how soon a bad client is owed an error or an end.
+const badClientWithin = 3 * time.Second
