upstream: look at the client's socket before an attempt's first byte

Cause: a client's departure is read by one goroutine (front), passed on by a second (core) and carried out by a third (the target's), while the attempt is written by a fourth. After a hold-up all of them have work, and the order in which they ran decided: the attempt's first byte left up to 0.14 s after the client had. (upstream/target.go, exchange: the last look before the first byte asked for the target's state and the window of a repeat, not for the client.) Change: a job carries a look at its client's socket (poll, nothing is taken); an attempt whose client has left is not begun, and its connection goes back unused. The looks at sockets move to internal/socket. The same for hosts over NVMe.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -230,7 +230,7 @@
 		e.out, e.node, e.sentAt = true, a.Node, now
 		e.attempts++
 		t := Attempt{Request: a.Request, Name: e.job.Name, Number: e.attempts - 1, Node: a.Node, Until: now.Add(a.Wait),
-			Payload: e.job.Payload}
+			Gone: e.job.Gone, Payload: e.job.Payload}
 		c.trace("attempt decided", e.job, slog.Int("attempt", t.Number), slog.String("node", t.Node), slog.Duration("wait", a.Wait))
 		if a.Begin > 0 {
 			t.Begin = now.Add(a.Begin)
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -45,6 +45,7 @@
 	Patience time.Duration // how long the client waits from then on
 	Payload  any           // for the upstream
 	Done     func(Answer)  // called once, from the core's goroutine: must not wait
+	Gone     func() bool   // whether the client has left by now; any goroutine may ask; nil: not known
 }
 
 // Attempt is one try of a request at a target.
@@ -53,8 +54,9 @@
 	Name    string // the client's own for the request, for logs
 	Number  int
 	Node    string
-	Begin   time.Time // no first byte after that; zero: at any time
-	Until   time.Time // given up then
+	Begin   time.Time   // no first byte after that; zero: at any time
+	Until   time.Time   // given up then
+	Gone    func() bool // of the job
 	Payload any
 }
 
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -13,9 +13,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
-	"spindlehitch/internal/upstream"
+	"spindlehitch/internal/socket"
 )
 
 // A connection's phases. Whoever moves it on does so by a compare-and-swap, so that a connection is never closed to
@@ -94,16 +92,7 @@
 
 // gone tells whether the client has ended the connection, also where bytes of it are still unread.
 func (c *clientConn) gone() bool {
-	if c.raw == nil {
-		return false
-	}
-	ended := false
-	err := c.raw.Control(func(fd uintptr) {
-		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look, 0)
-		ended = err == nil && n > 0
-	})
-	return err != nil || ended
+	return c.Conn != nil && socket.PeerGone(c.Conn)
 }
 
 // took notes that bytes came.
@@ -295,7 +284,7 @@
 // closed, unless it was refused: it is asking just now. The table is locked.
 func (t *connTable) evict(c *clientConn, phase int32, reason string) bool {
 	c.taking.Lock()
-	free := (phase == spent || upstream.Quiet(c.Conn)) && c.phase.CompareAndSwap(phase, evicted)
+	free := (phase == spent || socket.Quiet(c.Conn)) && c.phase.CompareAndSwap(phase, evicted)
 	if free {
 		c.end(reason)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -163,7 +163,7 @@
 	j.Patience = s.shutdown.Cut(j.Patience, arrived, s.left.Load())
 	// The core's goroutine must not wait for a client: the answer has a place of its own.
 	final := make(chan core.Answer, 1)
-	j.Arrived, j.Payload, j.Done = arrived, m, func(a core.Answer) { final <- a }
+	j.Arrived, j.Payload, j.Done, j.Gone = arrived, m, func(a core.Answer) { final <- a }, conn.gone
 	ahead := conn.ahead
 	select {
 	case <-ahead:
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -14,6 +14,7 @@
 
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/mailbox"
+	"spindlehitch/internal/socket"
 )
 
 // Options set up the controller side.
@@ -510,6 +511,7 @@
 func (q *queue) submit(p *pending) {
 	ns := q.server.spaces[p.io.NSID]
 	j := &core.Job{Request: ns.request(p.io), Arrived: time.Now(), Payload: p.io}
+	j.Gone = func() bool { return socket.PeerGone(q.net) }
 	j.Patience = q.server.shutdown.Cut(q.server.opt.Patience[j.Class], j.Arrived, q.server.left.Load())
 	delays := q.ctrl.wantsDelays()
 	j.Done = func(a core.Answer) {
--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -14,6 +14,7 @@
 
 	"spindlehitch"
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/socket"
 	"spindlehitch/internal/upstream"
 )
 
@@ -393,7 +394,7 @@
 }
 
 // Alive implements upstream.Session.
-func (s *session) Alive() bool { return s.in.Buffered() == 0 && upstream.Quiet(s.Conn) }
+func (s *session) Alive() bool { return s.in.Buffered() == 0 && socket.Quiet(s.Conn) }
 
 // Do carries one read or write. A write's data goes in the capsule where it fits, otherwise when the
 // controller asks; until the last byte of it is written, it cannot have begun.
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -17,6 +17,7 @@
 
 	"spindlehitch"
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/socket"
 )
 
 const (
@@ -143,7 +144,7 @@
 }
 
 // Alive implements Session.
-func (c *httpSession) Alive() bool { return Quiet(c.Conn) }
+func (c *httpSession) Alive() bool { return socket.Quiet(c.Conn) }
 
 // appendHead writes the request's head. What is not listed in the protocol is not sent.
 func appendHead(b []byte, m *Message, host string, waitMs int64) []byte {
@@ -287,24 +288,3 @@
 	}
 	return "MALFORMED"
 }
-
-// Quiet tells whether an idle connection is still open and quiet. It looks without taking: a target that
-// closed it, or that speaks unasked, makes it useless, and a write to it would end as a reset.
-func Quiet(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	var one [1]byte
-	// Control, not Read, which would wait for a reader that waits for bytes.
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-	})
-	return err == nil && quiet
-}
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -335,14 +335,16 @@
 	if !y.hold(c.Session) {
 		return nil, "CANCELLED"
 	}
+	if y.clientGone() {
+		r.Code = spindlehitch.Moot
+		return c, ""
+	}
 	c.used++
 	t.opt.Log.LogAttrs(y.ctx, slog.LevelDebug, "attempt begins", slog.String("request", y.Name), slog.Int("attempt", y.Number),
 		slog.String("peer", t.id), slog.Int("requests", c.used), slog.Duration("rested", c.rested()))
 	var reuse bool
 	var reason string
-	*r, reuse, reason = c.Do(y.Attempt, func() bool {
-		return open(&t.state) && (y.Begin.IsZero() || time.Now().Before(y.Begin))
-	})
+	*r, reuse, reason = c.Do(y.Attempt, func() bool { return t.mayBegin(y) })
 	if y.calledOff() {
 		switch r.Code {
 		case spindlehitch.Delivered, spindlehitch.Moot, spindlehitch.NoConnection:
@@ -357,6 +359,17 @@
 	return c, ""
 }
 
+// mayBegin is the last look before the first byte of an attempt.
+func (t *target) mayBegin(y *try) bool {
+	if !open(&t.state) || !y.Begin.IsZero() && !time.Now().Before(y.Begin) {
+		return false
+	}
+	return !y.clientGone()
+}
+
+// clientGone asks the client's socket: the news of its departure may still be on its way to callOff.
+func (y *try) clientGone() bool { return y.Gone != nil && y.Gone() }
+
 // callOff ends an attempt from outside: whatever it waits for fails at once.
 func (y *try) callOff() {
 	y.mu.Lock()
