Test: a target's second answer is served to another request (fails)

Symptom: a client gets an answer that was made for another request. Change: a test with the real program and a target that sends each answer again, 1 to 9 ms later, where nothing else waits on the connection.

--- a/internal/faulttest/regression_test.go
+++ b/internal/faulttest/regression_test.go
@@ -112,3 +112,32 @@
 	}
 	w.judge(t)
 }
+
+// TestSecondAnswerServesNoOtherRequest
+//
+// Symptom: a client got an answer that was made for another request.
+// Sequence: a target sends each of its answers a second time, up to 9 ms later, where nothing else waits on the connection.
+// Under a burst four connections to it are open; from then on one that has just brought an answer carries the next request
+// at once. The copy comes between the look at the connection and the first byte of that request, and is read as its answer.
+// Cause: the rest of 10 ms that a connection has after an answer was not kept once there were four connections, and the look
+// at the connection was taken before the attempt was handed to the goroutine that writes it.
+// Settled by the log of such a request: "attempt begins" with rested below 10 ms.
+func TestSecondAnswerServesNoOtherRequest(t *testing.T) {
+	w := newWorld(t, func(rng *rand.Rand) Behaviour {
+		return Behaviour{Delay: time.Duration(rng.IntN(3000)) * time.Microsecond,
+			SecondAfter: time.Duration(1+rng.IntN(8000)) * time.Microsecond}
+	})
+	var clients sync.WaitGroup
+	for i := range 24 {
+		clients.Go(func() {
+			for j := range 300 {
+				w.client.Do(Request{ID: fmt.Sprintf("r%d-%d", i, j), Class: read, Patience: read.Deadline})
+			}
+		})
+	}
+	clients.Wait()
+	w.judge(t)
+	if requests, served := w.ledger.Counts(); served < requests*9/10 {
+		t.Errorf("%d of %d requests were served", served, requests)
+	}
+}
