--- /dev/null
+++ b/internal/upstream/attempt.go
@@ -0,0 +1,151 @@
+package upstream
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"spindlehitch"
+	"spindlehitch/internal/core"
+)
+
+// lateDials is how many times as long as an attempt waits for it a connection may take to come up at all.
+const lateDials = 8
+
+// try is one attempt under way.
+type try struct {
+	core.Attempt
+	ctx    context.Context
+	stop   context.CancelFunc
+	mu     sync.Mutex
+	conn   Session
+	called bool // called off
+	slow   bool // its dial goes on without it
+}
+
+// attempt carries one attempt through connect and exchange and reports its outcome. Where it ends early, the
+// connection is closed first: one attempt out at a time.
+func (t *target) attempt(y *try, c *conn) {
+	r := core.Result{Code: spindlehitch.NoConnection}
+	var again *conn
+	reason, used := "CONNECT_FAILED", 0
+	if c == nil {
+		c = t.dial(y)
+	}
+	if c != nil {
+		used = c.used + 1
+		if again, reason = t.exchange(y, c, &r); again == nil {
+			c.Close()
+		}
+	}
+	if again == nil {
+		t.logEnd(used, reason, y.Name)
+	}
+	r.Request, r.Number, r.Node = y.Request, y.Number, t.id
+	// The pool hears first, so that a send decided on this outcome finds the connection.
+	t.box.Put(done{y, again})
+	t.report(r)
+}
+
+// dial opens a connection for the attempt. One that takes longer than the attempt waits goes on, and the next attempt
+// finds it in the pool: its handshake is paid for, and a new one may take as long.
+func (t *target) dial(y *try) *conn {
+	ctx, stop := context.WithTimeout(context.Background(), lateDials*t.opt.Dial)
+	came := make(chan *conn, 1)
+	go func() {
+		addr := t.address()
+		s, err := t.opt.Wire.Dial(ctx, addr)
+		if err != nil {
+			came <- nil
+			return
+		}
+		came <- &conn{Session: s, addr: addr}
+	}()
+	wait := time.NewTimer(t.opt.Dial)
+	defer wait.Stop()
+	select {
+	case c := <-came:
+		stop()
+		return c
+	case <-wait.C:
+	case <-y.ctx.Done():
+	}
+	if y.slow = t.slow.CompareAndSwap(false, true); !y.slow {
+		stop()
+		if c := <-came; c != nil {
+			c.Close()
+		}
+		return nil
+	}
+	go func() {
+		defer stop()
+		t.box.Put(late{<-came})
+	}()
+	return nil
+}
+
+// exchange has the attempt carried out on c, and returns c if it can be used again.
+func (t *target) exchange(y *try, c *conn, r *core.Result) (*conn, string) {
+	if !y.hold(c.Session) {
+		return nil, "CANCELLED"
+	}
+	if y.clientGone() {
+		r.Code = spindlehitch.Moot
+		return c, ""
+	}
+	c.used++
+	t.opt.Log.LogAttrs(y.ctx, slog.LevelDebug, "attempt begins", slog.String("request", y.Name), slog.Int("attempt", y.Number),
+		slog.String("peer", t.id), slog.Int("requests", c.used), slog.Duration("rested", c.rested()))
+	var reuse bool
+	var reason string
+	*r, reuse, reason = c.Do(y.Attempt, func() bool { return t.mayBegin(y) })
+	if y.calledOff() {
+		switch r.Code {
+		case spindlehitch.Delivered, spindlehitch.Moot, spindlehitch.NoConnection:
+		default:
+			r.Code, reason = spindlehitch.Cancelled, "CANCELLED"
+		}
+		return nil, reason
+	}
+	if !reuse {
+		return nil, reason
+	}
+	return c, ""
+}
+
+// mayBegin is the last look before the first byte of an attempt.
+func (t *target) mayBegin(y *try) bool {
+	if !open(&t.state) || !y.Begin.IsZero() && !time.Now().Before(y.Begin) {
+		return false
+	}
+	return !y.clientGone()
+}
+
+// clientGone asks the client's socket: the news of its departure may still be on its way to callOff.
+func (y *try) clientGone() bool { return y.Gone != nil && y.Gone() }
+
+// callOff ends an attempt from outside: whatever it waits for fails at once.
+func (y *try) callOff() {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.called = true
+	y.stop()
+	if y.conn != nil {
+		y.conn.Close()
+	}
+}
+
+// hold notes the connection for callOff; false when it came too late.
+func (y *try) hold(c Session) bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.conn = c
+	return !y.called
+}
+
+func (y *try) calledOff() bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return y.called
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,97 @@
+package upstream
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// restFor is how long a connection rests after an answer, if there is another: targets send some a second time, some
+	// milliseconds later, and what crosses the next request on its way would pass for its answer.
+	restFor = 10 * time.Millisecond
+	// enoughConns is how many connections to one target are not added to for the sake of rest.
+	enoughConns = 4
+)
+
+// conn is one connection of the pool.
+type conn struct {
+	Session
+	addr   string
+	used   int
+	idleAt time.Time
+}
+
+// rested is how long ago the connection brought its last answer; 0: it is new.
+func (c *conn) rested() time.Duration {
+	if c.idleAt.IsZero() {
+		return 0
+	}
+	return time.Since(c.idleAt)
+}
+
+// take returns the connection used last of those that have rested for so long and are still whole; nil: none.
+func (t *target) take(rest time.Duration) *conn {
+	now := time.Now()
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		c := t.idle[i]
+		if c.used > 0 && now.Sub(c.idleAt) < rest {
+			continue
+		}
+		t.idle = slices.Delete(t.idle, i, i+1)
+		if c.Alive() {
+			return c
+		}
+		// Closed by the target while idle, or it speaks unasked: no byte of the attempt has been near it.
+		t.drop(c, "TARGET_CLOSED_IDLE")
+	}
+	return nil
+}
+
+// pool keeps a connection for the next attempt, or notes that it came to nothing.
+func (t *target) pool(c *conn) {
+	if c == nil {
+		t.count(-1)
+		return
+	}
+	c.idleAt = time.Now()
+	t.idle = append(t.idle, c)
+	t.prune()
+}
+
+// prune closes idle connections that nothing will use: too old, of an old address, of a target that leaves.
+func (t *target) prune() {
+	now, addr := time.Now(), t.address()
+	t.closeIdle("TARGET_LEAVES", func(*conn) bool { return !open(&t.state) })
+	t.closeIdle("TARGET_MOVED", func(c *conn) bool { return c.addr != addr })
+	t.closeIdle("IDLE", func(c *conn) bool { return now.Sub(c.idleAt) >= t.opt.Idle })
+}
+
+func (t *target) closeIdle(reason string, which func(*conn) bool) {
+	kept := t.idle[:0]
+	for _, c := range t.idle {
+		if which(c) {
+			t.drop(c, reason)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	clear(t.idle[len(kept):])
+	t.idle = kept
+}
+
+// count notes a connection more, unless all targets' connections are too many, or one less.
+func (t *target) count(n int) bool {
+	if t.all.Add(int64(n)) > int64(t.opt.MostAll) && n > 0 {
+		t.all.Add(int64(-n))
+		return false
+	}
+	t.conns += n
+	return true
+}
+
+// drop closes a connection that no attempt is on.
+func (t *target) drop(c *conn, reason string) {
+	c.Close()
+	t.count(-1)
+	t.logEnd(c.used, reason, "")
+}
