upstream: wait for a connection's rest, and look at it just before the first byte

Cause: a target may send an answer twice, some milliseconds apart. Connections rest 10 ms against that, but not once four to a target were open (start: take(0)), or none more could be opened. And the look at the connection was taken in the target's goroutine, the write in another. A copy in between was read as the next request's answer, and that one's own was left for the request after it, so that one crossing spoilt the connection for all that followed. Change: an attempt that finds only resting connections waits for the one that has rested longest, 10 ms at most, and the last look before the first byte wants nothing unread on it.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -30,6 +30,9 @@
 	r := core.Result{Code: spindlehitch.NoConnection}
 	var again *conn
 	reason, used := "CONNECT_FAILED", 0
+	if c != nil {
+		c = t.awaitRest(y, c)
+	}
 	if c == nil {
 		c = t.dial(y)
 	}
@@ -48,6 +51,27 @@
 	t.report(r)
 }
 
+// awaitRest waits until the connection has rested; nil: the target closed it meanwhile, or spoke unasked.
+func (t *target) awaitRest(y *try, c *conn) *conn {
+	left := c.restLeft()
+	if left <= 0 {
+		return c
+	}
+	wait := time.NewTimer(left)
+	defer wait.Stop()
+	select {
+	case <-y.ctx.Done():
+		return c
+	case <-wait.C:
+	}
+	if c.Alive() {
+		return c
+	}
+	c.Close()
+	t.logEnd(c.used, "TARGET_CLOSED_IDLE", "")
+	return nil
+}
+
 // dial opens a connection for the attempt. One that takes longer than the attempt waits goes on, and the next attempt
 // finds it in the pool: its handshake is paid for, and a new one may take as long.
 func (t *target) dial(y *try) *conn {
@@ -99,7 +123,7 @@
 		slog.String("peer", t.id), slog.Int("requests", c.used), slog.Duration("rested", c.rested()))
 	var reuse bool
 	var reason string
-	*r, reuse, reason = c.Do(y.Attempt, func() bool { return t.mayBegin(y) })
+	*r, reuse, reason = c.Do(y.Attempt, func() bool { return t.mayBegin(y, c) })
 	if y.calledOff() {
 		switch r.Code {
 		case spindlehitch.Delivered, spindlehitch.Moot, spindlehitch.NoConnection:
@@ -114,9 +138,9 @@
 	return c, ""
 }
 
-// mayBegin is the last look before the first byte of an attempt.
-func (t *target) mayBegin(y *try) bool {
-	if !open(&t.state) || !y.Begin.IsZero() && !time.Now().Before(y.Begin) {
+// mayBegin is the last look before the first byte of an attempt. What has come on its connection by then is not its answer.
+func (t *target) mayBegin(y *try, c *conn) bool {
+	if !c.Alive() || !open(&t.state) || !y.Begin.IsZero() && !time.Now().Before(y.Begin) {
 		return false
 	}
 	return !y.clientGone()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// restFor is how long a connection rests after an answer, if there is another: targets send some a second time, some
-	// milliseconds later, and what crosses the next request on its way would pass for its answer.
+	// restFor is how long a connection rests after an answer: targets send some a second time, some milliseconds later, and
+	// what crosses the next request on its way would pass for its answer.
 	restFor = 10 * time.Millisecond
-	// enoughConns is how many connections to one target are not added to for the sake of rest.
+	// enoughConns is how many connections to one target are not added to for the sake of rest: an attempt waits for one.
 	enoughConns = 4
 )
 
@@ -21,6 +21,14 @@
 	idleAt time.Time
 }
 
+// restLeft is how long the connection must still rest.
+func (c *conn) restLeft() time.Duration {
+	if c.used == 0 {
+		return 0
+	}
+	return restFor - c.rested()
+}
+
 // rested is how long ago the connection brought its last answer; 0: it is new.
 func (c *conn) rested() time.Duration {
 	if c.idleAt.IsZero() {
@@ -29,24 +37,60 @@
 	return time.Since(c.idleAt)
 }
 
-// take returns the connection used last of those that have rested for so long and are still whole; nil: none.
-func (t *target) take(rest time.Duration) *conn {
-	now := time.Now()
+// choose returns the connection for an attempt: one that has rested; nil for a new one while there are few; otherwise the
+// one that has rested longest, for the attempt to wait for. It returns false where there is none, nor room for one.
+func (t *target) choose() (*conn, bool) {
+	if c := t.takeRested(); c != nil {
+		return c, true
+	}
+	if t.conns < enoughConns && t.mayOpen() {
+		return nil, true
+	}
+	if c := t.takeLongestRested(); c != nil {
+		return c, true
+	}
+	return nil, t.mayOpen()
+}
+
+// mayOpen counts a new connection, unless there are too many. Both bounds keep the process within its descriptors,
+// whatever the number of targets.
+func (t *target) mayOpen() bool { return t.conns < t.opt.MostConn && t.count(1) }
+
+// takeRested returns the connection used last of those that have rested and are still whole; nil: none.
+func (t *target) takeRested() *conn {
 	for i := len(t.idle) - 1; i >= 0; i-- {
-		c := t.idle[i]
-		if c.used > 0 && now.Sub(c.idleAt) < rest {
+		if t.idle[i].restLeft() > 0 {
 			continue
 		}
-		t.idle = slices.Delete(t.idle, i, i+1)
-		if c.Alive() {
+		if c := t.takeAt(i); c != nil {
 			return c
 		}
-		// Closed by the target while idle, or it speaks unasked: no byte of the attempt has been near it.
-		t.drop(c, "TARGET_CLOSED_IDLE")
 	}
 	return nil
 }
 
+// takeLongestRested returns the idle connection that has rested longest, if not for long enough; nil: none is idle.
+func (t *target) takeLongestRested() *conn {
+	for len(t.idle) > 0 {
+		if c := t.takeAt(0); c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// takeAt takes an idle connection out; nil: it is not whole, and closed.
+func (t *target) takeAt(i int) *conn {
+	c := t.idle[i]
+	t.idle = slices.Delete(t.idle, i, i+1)
+	if c.Alive() {
+		return c
+	}
+	// Closed by the target while idle, or it speaks unasked: no byte of the attempt has been near it.
+	t.drop(c, "TARGET_CLOSED_IDLE")
+	return nil
+}
+
 // pool keeps a connection for the next attempt, or notes that it came to nothing.
 func (t *target) pool(c *conn) {
 	if c == nil {
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -104,17 +104,11 @@
 		t.report(r)
 		return
 	}
-	c := t.take(restFor)
-	if c == nil && t.conns >= enoughConns {
-		c = t.take(0)
-	}
-	// Both bounds keep the process within its descriptors, whatever the number of targets.
-	if c == nil && (t.conns >= t.opt.MostConn || !t.count(1)) {
-		if c = t.take(0); c == nil {
-			r.Code = spindlehitch.NoConnection
-			t.report(r)
-			return
-		}
+	c, found := t.choose()
+	if !found {
+		r.Code = spindlehitch.NoConnection
+		t.report(r)
+		return
 	}
 	ctx, stop := context.WithDeadline(context.Background(), a.Until)
 	y := &try{Attempt: a, ctx: ctx, stop: stop}
