upstream: report an attempt called off before it began as not sent

Cause: attempt.go, attempt: a client that left while its connection came up, or while its attempt waited for one, had the attempt reported as NO_CONNECTION. The module took it for a failure of the target: after three in a row it spared the target for quietAfter x 48/64, and its other clients waited. Change: such an attempt ends as not sent, and a connection it had not begun on goes back to the pool.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -45,6 +45,9 @@
 	if again == nil {
 		t.logEnd(used, reason, y.Name)
 	}
+	if r.Code == spindlehitch.NoConnection && y.calledOff() {
+		r.Code = spindlehitch.Moot // its client left: that tells nothing of the target
+	}
 	r.Request, r.Number, r.Node = y.Request, y.Number, t.id
 	// The pool hears first, so that a send decided on this outcome finds the connection.
 	t.box.Put(done{y, again})
@@ -111,10 +114,7 @@
 
 // exchange has the attempt carried out on c, and returns c if it can be used again.
 func (t *target) exchange(y *try, c *conn, r *core.Result) (*conn, string) {
-	if !y.hold(c.Session) {
-		return nil, "CANCELLED"
-	}
-	if y.clientGone() {
+	if !y.hold(c.Session) || y.clientGone() {
 		r.Code = spindlehitch.Moot
 		return c, ""
 	}
