--- /dev/null
+++ b/internal/front/holdup_test.go
@@ -0,0 +1,118 @@
+package front
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"spindlehitch/internal/core"
+)
+
+// heldUpFront serves all requests with "x". Before each reaches its handler, which is when net/http has read all of it,
+// heldUp runs, as if the process had been held up there.
+func heldUpFront(t *testing.T, readTimeout time.Duration, heldUp func(*Server)) string {
+	t.Helper()
+	b := &back{jobs: make(chan *core.Job, 64), gone: make(chan *core.Job, 64)}
+	s := New(b, Options{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, MostConn: 64,
+		EasyConn: 64, Longest: 5 * time.Second, Log: slog.New(slog.DiscardHandler)})
+	s.http.ReadTimeout = readTimeout
+	s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		heldUp(s)
+		s.ServeHTTP(w, r)
+	})
+	go func() {
+		for j := range b.jobs {
+			time.AfterFunc(20*time.Millisecond, func() { j.Done(core.Answer{Payload: []byte("x")}) })
+		}
+	}()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	t.Cleanup(func() { s.http.Close() })
+	return l.Addr().String()
+}
+
+const goodRead = "GET /get/x/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nRequest-Id: id1\r\nTier: std\r\n" +
+	"Request-Timeout-Ms: 4800\r\nIO-Info: volume=00000003b4d60021,units=2,shard=5,hosts=3\r\n\r\n"
+
+// wantServed writes what a client sends and wants so many answers with a target's data.
+func wantServed(t *testing.T, addr, sent string, answers int) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, sent)
+	in := bufio.NewReader(c)
+	for i := range answers {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		if body, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK || string(body) != "x" {
+			t.Errorf("answer %d: status %d, body %q", i, resp.StatusCode, body)
+		}
+	}
+}
+
+// TestReadTimeoutIsNoDeparture lets the time that a request has to come run out between its last byte and its handler:
+// net/http must lift it before it looks out for the client's departure, or the request would have no answer.
+func TestReadTimeoutIsNoDeparture(t *testing.T) {
+	const readTimeout = 50 * time.Millisecond
+	addr := heldUpFront(t, readTimeout, func(*Server) { time.Sleep(2 * readTimeout) })
+	wantServed(t, addr, goodRead, 1)
+}
+
+// TestWholeRequestIsNotEvicted
+//
+// Symptom: a request that was read had its connection closed with no answer.
+// Sequence: a connection is closed to make room for another, or at the end of a shutdown, when its request has been read
+// whole and the handler has not come to claim it yet.
+// Cause: the table of connections knows only that some of a request was read, and took one in that phase for a client that
+// is slow with its request, however lately its bytes had come.
+// Settled by this test: claim found the connection evicted and ended the handler.
+func TestWholeRequestIsNotEvicted(t *testing.T) {
+	for name, closing := range map[string]func(*Server){
+		"to make room": func(s *Server) {
+			s.conns.mu.Lock()
+			defer s.conns.mu.Unlock()
+			for c := range s.conns.open {
+				c.since = c.since.Add(-time.Minute) // it has said nothing for long
+			}
+			if c, phase := s.conns.leastNeeded(nil, true); c != nil {
+				s.conns.evict(c, phase, "CAP")
+			}
+		},
+		"at the end": func(s *Server) { s.conns.endUnasked(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			wantServed(t, heldUpFront(t, time.Minute, closing), goodRead, 1)
+		})
+	}
+}
+
+// TestRequestReadAheadIsNotEvicted
+//
+// Symptom: a request that was read had its connection closed with no answer.
+// Sequence: a client's second request comes along with its first and is read in the same step. In the moment after the first
+// answer, before the handler of the second claims it, the connection is closed to make room, as idle or for a shutdown.
+// Cause: the connection counted as quiet from the answer on, though what net/http had read ahead was not used up.
+// Settled by this test: claim found the connection evicted and ended the handler.
+func TestRequestReadAheadIsNotEvicted(t *testing.T) {
+	heldUp := false
+	addr := heldUpFront(t, time.Minute, func(s *Server) {
+		if heldUp { // after the first answer, before the second request's handler
+			s.conns.endUnasked(false)
+		}
+		heldUp = true
+	})
+	wantServed(t, addr, goodRead+goodRead, 2)
+}
