front: close no connection over a request that was read whole

Cause: conns.go: (1) leastNeeded and endUnasked took any connection of which part of a request was read for one that is slow with it, and judged that by the time since the connection began; between the last byte and claim it was closed over a whole request. (2) From StateIdle on a connection counted as quiet, though net/http may have read the next request along with the one before. In both cases claim found it evicted and ended the handler with no answer. Change: a connection is quiet only once net/http reads on, which it does when what it read ahead is used up; one with part of a request is closed only when nothing came for 200 ms, and is refused that request in the same step, so that even a whole one has its answer. A connection that was used before and stalls in the first bytes of a request ends after 2.4 s as well: net/http gave it 4.8 s, where 3 s are owed.

--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -19,15 +19,16 @@
 // A connection's phases. Whoever moves it on does so by a compare-and-swap, so that a connection is never closed to
 // make room once a request on it has been taken.
 const (
-	quiet   int32 = iota // between requests, or nothing asked yet: no byte of a request has been read
-	reading              // part of a request has been read
-	active               // a request is open
-	spent                // a request was refused, and what is left of it is read away; no other follows
-	evicted              // closed to make room; nothing read from it counts any more
+	quiet    int32 = iota // net/http waits for a request, and no byte of one has been read
+	reading               // part of a request has been read, or all of it and its handler has not claimed it
+	active                // a request is open
+	answered              // a request has its answer, and net/http may hold bytes of the next that it read ahead
+	spent                 // a request was refused, and what is left of it is read away; no other follows
+	evicted               // closed to make room; nothing read from it counts any more
 )
 
 // phaseNames are the phases as logs tell them.
-var phaseNames = [...]string{quiet: "QUIET", reading: "READING", active: "ACTIVE", spent: "REFUSED", evicted: "EVICTED"}
+var phaseNames = [...]string{quiet: "QUIET", reading: "READING", active: "ACTIVE", answered: "ANSWERED", spent: "REFUSED", evicted: "EVICTED"}
 
 // clientConn notes when a client's bytes came and why its connection ended.
 type clientConn struct {
@@ -47,6 +48,9 @@
 }
 
 func (c *clientConn) Read(b []byte) (n int, err error) {
+	// net/http reads on after an answer only once it has used up what it read ahead: up to then a whole request may wait
+	// there, which a connection that counted as quiet would be closed over.
+	c.phase.CompareAndSwap(answered, quiet)
 	if c.raw == nil {
 		n, err = c.Conn.Read(b)
 		c.took(n)
@@ -120,10 +124,11 @@
 	return nil
 }
 
-// claim takes the request that has been read. It ends the handler where the connection was closed meanwhile to make room.
+// claim takes the request that has been read. It ends the handler where the connection was refused and closed meanwhile.
 func (c *clientConn) claim() {
 	if !c.phase.CompareAndSwap(reading, active) &&
-		!c.phase.CompareAndSwap(quiet, active) { // all of it was read ahead, with the one before
+		!c.phase.CompareAndSwap(answered, active) && // all of it was read ahead, with the one before
+		!c.phase.CompareAndSwap(quiet, active) { // its last bytes were
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -195,6 +200,9 @@
 	unusedFor = 25 * time.Millisecond
 	// slack is how many connections past the cap are taken, each to have one request refused.
 	slack = 24
+	// stalledFor is how long a request of which part has come must have brought nothing more for its connection to be closed
+	// over it. One that has come whole is claimed long before, unless the process is held up.
+	stalledFor = 200 * time.Millisecond
 	// mostTries is how many connections a new one looks at for room.
 	mostTries = 8
 )
@@ -265,23 +273,29 @@
 	return cc
 }
 
-// endIdle closes the connections that have been without a request for so long, unless the program leaves: what clients
-// have is then all they can use.
-func (t *connTable) endIdle(d time.Duration) {
+// endIdle closes the connections that have been without a request for idle, and those of which part of a request has
+// come and nothing more for slow: net/http gives the first bytes of a further request all the time of an idle connection.
+// It closes no idle one while the program leaves: what clients have is then all they can use.
+func (t *connTable) endIdle(idle, slow time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.left {
-		return
-	}
 	for c := range t.open {
-		if c.used.Load() && time.Since(c.since) >= d && c.phase.Load() == quiet {
+		switch phase := c.phase.Load(); {
+		case phase == reading && time.Since(c.arrival()) >= slow:
+			t.evict(c, reading, "REQUEST_LATE")
+		case phase == quiet && c.used.Load() && time.Since(c.since) >= idle && !t.left:
 			t.evict(c, quiet, "IDLE")
 		}
 	}
 }
 
-// evict closes a connection that is still in the phase, which is any but active. One with bytes on their way to it is not
-// closed, unless it was refused: it is asking just now. The table is locked.
+// lateRefusal goes to a client over whose request its connection is closed. All of that request may be here by now: it has
+// its answer then, and nothing of it was sent on.
+const lateRefusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// evict closes a connection that is still in the phase, which is any but active and answered. One with bytes on their way to
+// it is not closed, unless it was refused: it is asking just now. One with part of a request is refused that. The table is
+// locked.
 func (t *connTable) evict(c *clientConn, phase int32, reason string) bool {
 	c.taking.Lock()
 	free := (phase == spent || socket.Quiet(c.Conn)) && c.phase.CompareAndSwap(phase, evicted)
@@ -293,6 +307,10 @@
 	if !free {
 		return false
 	}
+	if phase == reading {
+		// Nothing has been written before, so there is room for it: it does not wait.
+		io.WriteString(c.Conn, lateRefusal)
+	}
 	c.Conn.Close()
 	delete(t.open, c)
 	return true
@@ -318,7 +336,7 @@
 				return 1
 			}
 		case reading:
-			if first && now.Sub(c.since) > 4*silentFor {
+			if first && now.Sub(c.arrival()) > stalledFor {
 				return 3
 			}
 		}
@@ -349,7 +367,9 @@
 		t.mu.Unlock()
 		cc.used.Store(true)
 		cc.open.Store(nil)
-		cc.phase.CompareAndSwap(active, quiet)
+		if !cc.phase.CompareAndSwap(active, answered) {
+			cc.phase.CompareAndSwap(reading, answered) // net/http answered it by itself
+		}
 	case http.StateClosed, http.StateHijacked:
 		t.mu.Lock()
 		delete(t.open, cc)
@@ -375,13 +395,15 @@
 	t.mu.Unlock()
 }
 
-// endUnasked closes what has no request open, and with all also what has one on its way, which is otherwise let come in
-// whole. It returns how many connections are left.
+// endUnasked closes what has no request open, and with all also what has part of one and stalls, which is otherwise let come
+// in whole. It returns how many connections are left.
 func (t *connTable) endUnasked(all bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.open {
-		if phase := c.phase.Load(); phase == quiet || phase == spent || phase == reading && all {
+		phase := c.phase.Load()
+		stalled := phase == reading && time.Since(c.arrival()) > stalledFor
+		if phase == quiet || phase == spent || all && stalled {
 			t.evict(c, phase, "LEAVING")
 		}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,9 @@
 	// requestWithin is how long a request, head and body, may take to come: from its first byte, or from the
 	// connection's start. A client that is slower, or says nothing, is owed an end within 3 s.
 	requestWithin = 2 * time.Second
+	// stopWithin is how long a client may stop in the middle of a request: past requestWithin, which ends most of them with a
+	// word on what is missing.
+	stopWithin = requestWithin + 400*time.Millisecond
 	// idleFor is how long a connection is kept for a next request, but while the program leaves. Clients count it among
 	// the few they may hold.
 	idleFor = 2 * time.Second
@@ -91,7 +94,7 @@
 			case <-ended:
 				return
 			case <-tick.C:
-				s.conns.endIdle(idleFor)
+				s.conns.endIdle(idleFor, stopWithin)
 			}
 		}
 	}()
@@ -216,13 +219,14 @@
 // refuseBad answers what could not be taken, before what is left of its body, and then reads that away for a while. None
 // of these is a 429 or 503: a repeat would fare no better.
 func refuseBad(w http.ResponseWriter, r *http.Request, conn *clientConn, f *fault) {
+	conn.claim()
 	rc := http.NewResponseController(w)
 	// Without it net/http would first wait for the body, which may never come.
 	rc.EnableFullDuplex()
 	w.Header().Set("Connection", "close")
 	http.Error(w, f.text, f.status)
 	flushed := rc.Flush() == nil
-	conn.phase.CompareAndSwap(reading, spent)
+	conn.phase.CompareAndSwap(active, spent)
 	if flushed && f.status != http.StatusRequestTimeout && rc.SetReadDeadline(time.Now().Add(drainFor)) == nil {
 		io.CopyBuffer(struct{ io.Writer }{io.Discard}, io.LimitReader(r.Body, drainMost), make([]byte, 16<<10))
 	}
--- a/internal/front/holdup_test.go
+++ b/internal/front/holdup_test.go
@@ -116,3 +116,22 @@
 	})
 	wantServed(t, addr, goodRead+goodRead, 2)
 }
+
+// TestStopsInTheFirstBytes has a client send the first bytes of a further request and stay: it has its end within the 3 s
+// that it is owed. net/http gave it the 4.8 s of an idle connection, which is what the reading of four bytes is bounded by.
+func TestStopsInTheFirstBytes(t *testing.T) {
+	const owed = 3 * time.Second
+	addr := heldUpFront(t, requestWithin, func(*Server) {})
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	say(t, c, goodRead)
+	io.WriteString(c, "GE")
+	begun := time.Now()
+	c.SetReadDeadline(begun.Add(2 * owed))
+	if _, err := io.ReadAll(c); err != nil || time.Since(begun) > owed {
+		t.Errorf("the end came after %v, %v; want it within %v", time.Since(begun), err, owed)
+	}
+}
