--- a/internal/faulttest/client.go
+++ b/internal/faulttest/client.go
@@ -58,6 +58,7 @@
 	Addr   string
 	ledger *Ledger
 	killed atomic.Bool
+	kept   atomic.Bool // only the connections there are, are used
 	mu     sync.Mutex
 	idle   []net.Conn
 }
@@ -68,6 +69,12 @@
 // Killed notes that the initiator is about to be killed without notice: what is open then is not held against it.
 func (c *Client) Killed(yes bool) { c.killed.Store(yes) }
 
+// StopConnecting keeps the clients from opening connections: they go on with those that they have.
+func (c *Client) StopConnecting() { c.kept.Store(true) }
+
+// errKept says that there is no connection left to ask on.
+var errKept = errors.New("no connection is left")
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -78,7 +85,7 @@
 	c.idle = nil
 }
 
-// Connect returns an idle connection, or a new one.
+// connect returns an idle connection, or a new one.
 func (c *Client) connect() (n net.Conn, reused bool, err error) {
 	c.mu.Lock()
 	if last := len(c.idle) - 1; last >= 0 {
@@ -89,6 +96,9 @@
 	if n != nil {
 		return n, true, nil
 	}
+	if c.kept.Load() {
+		return nil, false, errKept
+	}
 	n, err = net.DialTimeout("tcp", c.Addr, time.Second)
 	return n, false, err
 }
@@ -96,25 +106,31 @@
 // Do asks, and notes how the request ended. It asks again on a new connection where the first ended unread.
 func (c *Client) Do(q Request) Outcome {
 	for sends := 1; ; sends++ {
-		n, reused, err := c.connect()
-		if err != nil {
-			return Outcome{Text: err.Error(), Unread: true}
-		}
-		o, keep := c.exchange(n, reused, q)
-		if keep {
-			c.mu.Lock()
-			c.idle = append(c.idle, n)
-			c.mu.Unlock()
-		} else {
-			n.Close()
-		}
-		if !o.Unread || sends == mostSends || q.Leaves {
+		o, connected := c.send(q)
+		if !o.Unread || !connected || sends == mostSends || q.Leaves {
 			c.ledger.edit(q.ID, func(r *record) { r.outcomes = append(r.outcomes, o) })
 			return o
 		}
 	}
 }
 
+// send asks once, and keeps the connection if it can be used again. It tells whether there was a connection at all.
+func (c *Client) send(q Request) (o Outcome, connected bool) {
+	n, reused, err := c.connect()
+	if err != nil {
+		return Outcome{Text: err.Error(), Unread: true}, false
+	}
+	o, keep := c.exchange(n, reused, q)
+	if !keep {
+		n.Close()
+		return o, true
+	}
+	c.mu.Lock()
+	c.idle = append(c.idle, n)
+	c.mu.Unlock()
+	return o, true
+}
+
 // exchange writes a request and reads its answer.
 func (c *Client) exchange(n net.Conn, reused bool, q Request) (o Outcome, keep bool) {
 	if err := writePieces(n, q); err != nil {
--- a/internal/faulttest/regression_test.go
+++ b/internal/faulttest/regression_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -43,6 +44,12 @@
 
 // newWorld starts an initiator whose only target treats each request as draw says.
 func newWorld(t *testing.T, draw func(*rand.Rand) Behaviour) *world {
+	t.Helper()
+	return newWorldOf(t, read, draw)
+}
+
+// newWorldOf is newWorld with a class of requests of the test's own.
+func newWorldOf(t *testing.T, class Class, draw func(*rand.Rand) Behaviour) *world {
 	t.Helper()
 	w := &world{delays: NewDelayMonitor()}
 	t.Cleanup(w.delays.Stop)
@@ -63,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.process, err = Start(program, t.TempDir(), Setup{Listen: listen, Discovery: asked, Classes: []Class{read}, Cores: 1, Sockets: 512})
+	w.process, err = Start(program, t.TempDir(), Setup{Listen: listen, Discovery: asked, Classes: []Class{class}, Cores: 1, Sockets: 512})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -141,3 +148,30 @@
 		t.Errorf("%d of %d requests were served", served, requests)
 	}
 }
+
+// TestOpenRequestIsAnsweredBeforeTheKill
+//
+// Symptom: requests that were taken got no answer at all in a restart.
+// Sequence: a target hangs; a client that waits 5 s asks, and the initiator is told to end at once. SIGKILL comes as early as it
+// may, 3.7 s later, and finds the request open.
+// Cause: only requests taken well after SIGTERM had their time cut to what is left before SIGKILL. Earlier ones kept all of
+// theirs, which may be longer than that.
+// Settled by the log: "attempt begins" is the last line on the request.
+func TestOpenRequestIsAnsweredBeforeTheKill(t *testing.T) {
+	w := newWorldOf(t, Class{Name: "read", Deadline: 5 * time.Second}, func(*rand.Rand) Behaviour { return Behaviour{Reply: Hang} })
+	var clients sync.WaitGroup
+	for i := range 4 {
+		clients.Go(func() {
+			w.client.Do(Request{ID: fmt.Sprintf("r%d", i), Class: w.process.Setup.Classes[0], Patience: 5 * time.Second})
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	told := time.Now()
+	w.process.Signal(syscall.SIGTERM)
+	w.process.Await(time.Until(told.Add(w.process.Setup.KillAfter())))
+	w.process.Kill()
+	clients.Wait()
+	for _, b := range w.ledger.Breaches() {
+		t.Errorf("%v\n%s", b, w.process.Log("request="+b.Request))
+	}
+}
