core: answer every request before SIGKILL may come, also those open at SIGTERM

Cause: Shutdown.Cut cuts the time of requests taken 0.45 s after SIGTERM or later. What was open before kept its own, up to 5 s where SIGKILL may come after 3.7 s, and a target that hung through the shutdown left it with no answer. Change: at SIGTERM the core tells the module that it leaves and by when (the longest deadline, at most 3 s, plus 0.7 s, less the margin of 0.2 s there was); the module cuts the time of all requests to that, and the core calls off what is still out then, so that the module answers on the outcomes. A client with a longer deadline is told 0.2 s before its connection would be reset.

--- a/api.go
+++ b/api.go
@@ -197,6 +197,9 @@
 // Departed tells that the client is gone; nothing more is owed.
 type Departed struct{ ID string }
 
+// Leaving tells that the initiator ends: no request may be open any more once so much time is over.
+type Leaving struct{ Within time.Duration }
+
 // Timer is due, as asked for by SetTimer.
 type Timer struct{}
 
@@ -205,6 +208,7 @@
 func (Outcome) event()     {}
 func (StreamBegun) event() {}
 func (Departed) event()    {}
+func (Leaving) event()     {}
 func (Timer) event()       {}
 
 // ActionKind tells the actions apart.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	held     atomic.Int64
 	seq      uint64
 	timerAt  time.Time          // zero: none
+	endAt    time.Time          // attempts are called off then, since the program leaves; zero: not known
 	named    map[string]bool    // of open requests
 	ran      [2]map[string]bool // of finished ones that may have run, lately and before
 	ranAt    time.Time
@@ -67,7 +68,11 @@
 // namesFor is how long, at least, the name of a request that may have run stays taken.
 const namesFor = 5 * time.Second
 
-type submitted struct{ job *Job }
+// Messages of the core's actor, beside Result and NodeList; a *Job alone is one whose client has left.
+type (
+	submitted struct{ job *Job }
+	leaving   struct{ at time.Time }
+)
 
 // New returns a core; Run starts it.
 func New(m *spindlehitch.Scheduler, up Upstream, clock Clock, opt Options) *Core {
@@ -97,6 +102,9 @@
 // List hands over news of the targets.
 func (c *Core) List(l spindlehitch.NodeList) { c.box.Put(l) }
 
+// Leave has every request answered by then: the program ends.
+func (c *Core) Leave(at time.Time) { c.box.Put(leaving{at}) }
+
 // Open tells how many requests are not finished with.
 func (c *Core) Open() int { return int(c.held.Load()) }
 
@@ -145,11 +153,16 @@
 			c.depart(m)
 		case Result:
 			c.result(now, m)
+		case leaving:
+			c.endAt = m.at
+			c.setTimer(m.at)
+			c.events = append(c.events, spindlehitch.Leaving{Within: m.at.Sub(now)})
 		case spindlehitch.NodeList:
 			// Ahead of all else in the batch: no send is decided on a list older than the one at hand.
 			c.lists = append(c.lists, m)
 		}
 	}
+	c.callOffAtEnd(now)
 	if !c.timerAt.IsZero() && !now.Before(c.timerAt) {
 		c.timerAt = time.Time{}
 		c.events = append(c.events, spindlehitch.Timer{})
@@ -215,9 +228,7 @@
 	e := c.open[a.Request]
 	switch a.Kind {
 	case spindlehitch.SetTimer:
-		if at := now.Add(a.Wait); c.timerAt.IsZero() || at.Before(c.timerAt) {
-			c.timerAt = at
-		}
+		c.setTimer(now.Add(a.Wait))
 		return
 	case spindlehitch.Subscribe, spindlehitch.Log:
 		return // the list is always watched
@@ -245,6 +256,29 @@
 	}
 }
 
+// setTimer has the actor step at that time, or earlier where it is to already.
+func (c *Core) setTimer(at time.Time) {
+	if c.timerAt.IsZero() || at.Before(c.timerAt) {
+		c.timerAt = at
+	}
+}
+
+// callOffAtEnd ends what is still out when the program's time is over: the module answers on the outcomes.
+func (c *Core) callOffAtEnd(now time.Time) {
+	if c.endAt.IsZero() {
+		return
+	}
+	if now.Before(c.endAt) {
+		c.setTimer(c.endAt)
+		return
+	}
+	for id, e := range c.open {
+		if e.out {
+			c.up.Cancel(e.node, id)
+		}
+	}
+}
+
 // answer gives the final answer, once.
 func (c *Core) answer(e *entry, a Answer) {
 	if e.answered {
--- a/internal/core/shutdown.go
+++ b/internal/core/shutdown.go
@@ -16,6 +16,8 @@
 	ServeFor time.Duration
 	// AnswerBy is when what was taken after LingerFor has its answer, so that the successor need not wait.
 	AnswerBy time.Duration
+	// LastAnswer is when every request has its answer: SIGKILL may come soon after.
+	LastAnswer time.Duration
 }
 
 const (
@@ -31,8 +33,9 @@
 
 // ShutdownFor is the end that fits clients who wait for so long at the longest.
 func ShutdownFor(longest time.Duration) Shutdown {
-	by := min(mostAnswerBy, min(longest, killMost)+killAfter-killMargin)
-	return Shutdown{ServeFor: max(by-answerWithin, LingerFor), AnswerBy: by}
+	last := min(longest, killMost) + killAfter - killMargin
+	by := min(mostAnswerBy, last)
+	return Shutdown{ServeFor: max(by-answerWithin, LingerFor), AnswerBy: by, LastAnswer: last}
 }
 
 // Pause waits until then, or until the context ends.
--- a/scheduler.go
+++ b/scheduler.go
@@ -74,6 +74,7 @@
 	// stood still before this step (0: not), when to ask for the list and how long to wait after that.
 	taken, extra                                    []time.Duration
 	timerAt, wakeAt, swept, stalled, askAt, askWait time.Duration
+	endAt                                           time.Duration // no request may be open after that
 
 	adds    float64    // part of the base latency that a request waiting at a node adds
 	ready   []*request // what the gate lets through at the lane in hand
@@ -102,6 +103,7 @@
 		timerAt:  never,
 		adds:     0.5, // two served at once, until seen
 		askAt:    never,
+		endAt:    never,
 		askWait:  time.Second,
 	}
 	s.set.MeanUnits = max(set.MeanUnits, 1e-3)
@@ -155,6 +157,8 @@
 			if r := s.requests[e.ID]; r != nil && !r.done {
 				s.finish(r)
 			}
+		case Leaving:
+			s.onLeaving(e)
 		case Timer: // also one a little early: whoever drives the module may round
 			s.timerAt = never
 		}
@@ -620,7 +624,7 @@
 		s.act(Action{Kind: Refuse, Request: e.ID})
 		return
 	}
-	e.Budget = min(e.Budget, c.Deadline) // nobody's patience is longer
+	e.Budget = min(e.Budget, c.Deadline, s.endAt-s.now) // nobody's patience is longer
 	v := s.volumes[e.Volume]
 	if v == nil {
 		v = &volume{plan: p, hosts: float64(max(1, e.Initiators)), filled: s.now, storeAt: s.now}
@@ -717,6 +721,18 @@
 		r.class.Effect == Keyed && s.now < r.ranSince+r.class.Window
 }
 
+// onLeaving cuts the time of all requests, those to come included. An attempt that is out keeps its own: whoever drives
+// the module calls it off in time, and its outcome brings the answer.
+func (s *Scheduler) onLeaving(e Leaving) {
+	s.endAt = s.now + e.Within
+	for _, r := range s.requests {
+		r.due = min(r.due, s.endAt)
+		r.by = min(r.by, r.due-2*s.set.Tick)
+		r.fullAim = min(r.fullAim, r.due-2*s.set.Tick) // keeps the order of what is held
+	}
+	heap.Init(&s.dues)
+}
+
 // answer gives the final answer: a refusal where a client's retry is harmless, otherwise a failure.
 func (s *Scheduler) answer(r *request) {
 	kind, wait := Refuse, time.Duration(0)
