front: close the listener only once what waits on it has been taken

Cause: Stop closed the listener 0.45 s after SIGTERM by the clock. After a hold-up the runtime runs timers before sockets, so the close came before the goroutine that accepts, and connections that the machine had accepted were reset with their requests. Change: socket.CloseListener asks the listener's socket whether connections wait, and closes it when none does, 0.1 s later at the most; for hosts over NVMe as well.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/socket"
 	"spindlehitch/internal/upstream"
 )
 
@@ -113,7 +114,8 @@
 	s.conns.leave()
 	core.Pause(ctx, now.Add(core.LingerFor))
 	if l := s.listener.Load(); l != nil {
-		(*l).Close()
+		// The time may be over before the goroutine that accepts has run: what waits there is a client's.
+		socket.CloseListener(*l)
 	}
 	core.Pause(ctx, now.Add(s.shutdown.ServeFor))
 	// Not by http.Server.Shutdown: it closes what net/http calls idle, and that may have a request half read.
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -182,10 +182,11 @@
 	s.left.Store(&now)
 	core.Pause(ctx, now.Add(core.LingerFor))
 	s.mu.Lock()
-	if s.listener != nil {
-		s.listener.Close()
-	}
+	listener := s.listener
 	s.mu.Unlock()
+	if listener != nil {
+		socket.CloseListener(listener)
+	}
 	core.Pause(ctx, now.Add(s.shutdown.ServeFor))
 	s.leaving.Store(true)
 	for s.open.Load() > 0 && ctx.Err() == nil {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,9 +1,10 @@
-// Package socket looks at the state of a connection's socket without taking anything from it.
+// Package socket looks at the state of sockets without taking anything from them.
 package socket
 
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -39,11 +40,37 @@
 	if err != nil {
 		return true
 	}
-	gone := false
+	gone, err := polled(raw, unix.POLLRDHUP)
+	return err != nil || gone
+}
+
+// polled tells whether one of the events, an error or a hang-up is there on a socket now.
+func polled(raw syscall.RawConn, events int16) (there bool, err error) {
 	err = raw.Control(func(fd uintptr) {
-		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look, 0)
-		gone = err == nil && n > 0
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: events}}, 0)
+		there = err == nil && n > 0
 	})
-	return err != nil || gone
+	return there, err
+}
+
+// acceptWithin bounds how long CloseListener waits for connections to be taken.
+const acceptWithin = 100 * time.Millisecond
+
+// CloseListener closes a listener once the connections that the machine has accepted on it have been taken. Somebody must
+// be accepting: those left are reset.
+func CloseListener(l net.Listener) error {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return l.Close()
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return l.Close()
+	}
+	for end := time.Now().Add(acceptWithin); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if waiting, err := polled(raw, unix.POLLIN); err != nil || !waiting {
+			break
+		}
+	}
+	return l.Close()
 }
