--- a/internal/faulttest/client.go
+++ b/internal/faulttest/client.go
@@ -57,10 +57,12 @@
 type Client struct {
 	Addr   string
 	ledger *Ledger
-	killed atomic.Bool
-	kept   atomic.Bool // only the connections there are, are used
-	mu     sync.Mutex
-	idle   []net.Conn
+	// MayShut says that new connections may be shut unread, since there are too many.
+	MayShut bool
+	killed  atomic.Bool
+	kept    atomic.Bool // only the connections there are, are used
+	mu      sync.Mutex
+	idle    []net.Conn
 }
 
 // NewClient returns clients of the initiator at addr.
@@ -150,7 +152,53 @@
 	}
 	n.SetReadDeadline(taken.Add(q.Patience + answerSlack + giveUp))
 	defer n.SetReadDeadline(time.Time{})
-	resp, err := http.ReadResponse(bufio.NewReader(n), nil)
+	o = readAnswer(bufio.NewReader(n), taken)
+	if o.err != nil {
+		o.Killed = c.killed.Load()
+		ended := errors.Is(o.err, io.EOF) || errors.Is(o.err, io.ErrUnexpectedEOF)
+		o.Unread = !o.begun && (errors.Is(o.err, syscall.ECONNRESET) && (reused || c.MayShut) ||
+			ended && reused && o.After < crossing+c.ledger.delays.Most(taken, o.At))
+	}
+	return o, o.err == nil && !o.closes
+}
+
+// Pipeline asks several requests at once on a connection of their own, and reads their answers in turn.
+func (c *Client) Pipeline(requests []Request) {
+	n, _, err := c.connect()
+	if err != nil {
+		return
+	}
+	defer n.Close()
+	whole := ""
+	for _, q := range requests {
+		whole += q.wire()
+	}
+	if _, err := io.WriteString(n, whole); err != nil {
+		return
+	}
+	taken := time.Now()
+	in := bufio.NewReader(n)
+	closed := false
+	for _, q := range requests {
+		c.ledger.edit(q.ID, func(r *record) { r.taken, r.patience, r.unsafe = taken, q.Patience, q.Class.Unsafe })
+		n.SetReadDeadline(taken.Add(q.Patience + answerSlack + giveUp))
+		o := Outcome{Unread: closed, Killed: c.killed.Load()}
+		if !closed {
+			o = readAnswer(in, taken)
+			closed = o.closes
+			o.Killed = c.killed.Load()
+		}
+		c.ledger.edit(q.ID, func(r *record) { r.outcomes = append(r.outcomes, o) })
+		if o.Status == 0 && !closed {
+			closed = true // the first that has no answer is the one to judge
+		}
+	}
+}
+
+// readAnswer reads one answer to a request that was written whole at that time.
+func readAnswer(in *bufio.Reader, taken time.Time) Outcome {
+	o := Outcome{}
+	resp, err := http.ReadResponse(in, nil)
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(resp.Body)
@@ -158,15 +206,11 @@
 	o.At = time.Now()
 	o.After = o.At.Sub(taken)
 	if err != nil {
-		o.Text = err.Error()
-		o.Killed = c.killed.Load()
-		ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-		o.Unread = resp == nil && (errors.Is(err, syscall.ECONNRESET) ||
-			ended && reused && o.After < crossing+c.ledger.delays.Most(taken, o.At))
-		return o, false
+		o.Text, o.err, o.begun = err.Error(), err, resp != nil
+		return o
 	}
-	o.Status, o.Text = resp.StatusCode, string(body)
-	return o, !resp.Close
+	o.Status, o.Text, o.closes = resp.StatusCode, string(body), resp.Close
+	return o
 }
 
 // writePieces writes a request, in pieces where it says so.
--- a/internal/faulttest/ledger.go
+++ b/internal/faulttest/ledger.go
@@ -58,6 +58,9 @@
 	After  time.Duration // from the request's last byte to At
 	Unread bool          // the connection ended without the initiator having read the request
 	Killed bool          // the initiator was killed without notice
+	err    error         // why there is no whole answer
+	begun  bool          // part of one came
+	closes bool          // it says that the connection ends
 }
 
 // record is all that is known of one request.
--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -136,6 +136,7 @@
 	}
 	s.mu.Lock()
 	s.process, s.client = process, NewClient(s.setup.Listen, s.ledger)
+	s.client.MayShut = s.crowd
 	s.processes = append(s.processes, process)
 	s.mu.Unlock()
 	return true
@@ -181,7 +182,10 @@
 			b.Reply = []Reply{FailIt, TurnAway, ResetIt, Noise, StopMidway, NoLength, CutNoLength}[rng.IntN(7)]
 		default:
 			b.Closes = rng.IntN(50) == 0
-			if rng.Float64() < repeats {
+			switch {
+			case rng.IntN(20) == 0:
+				b.IdleFor = time.Duration(1+rng.IntN(100)) * time.Millisecond
+			case rng.Float64() < repeats:
 				b.SecondAfter = time.Duration(1+rng.IntN(8000)) * time.Microsecond
 			}
 		}
@@ -199,6 +203,12 @@
 			return
 		case <-time.After(time.Duration(rng.ExpFloat64() * float64(time.Second) / soakRate)):
 		}
+		if rng.IntN(100) == 0 {
+			requests := s.requestsAtOnce(rng, 3)
+			_, client := s.current()
+			open.Go(func() { client.Pipeline(requests) })
+			continue
+		}
 		q := s.request(rng)
 		again := rng.IntN(2) == 0
 		_, client := s.current()
@@ -233,6 +243,18 @@
 	return q
 }
 
+// requestsAtOnce draws requests that wait equally long.
+func (s *soak) requestsAtOnce(rng *rand.Rand, n int) []Request {
+	all := []Request{s.request(rng)}
+	all[0].Leaves = false
+	for len(all) < n {
+		q := all[0]
+		q.ID = fmt.Sprintf("r%d-%d", s.seed, s.requests.Add(1))
+		all = append(all, q)
+	}
+	return all
+}
+
 // badClients sends what cannot be served.
 func (s *soak) badClients(rng *rand.Rand) {
 	var open sync.WaitGroup
--- a/internal/faulttest/target.go
+++ b/internal/faulttest/target.go
@@ -35,6 +35,7 @@
 	Delay       time.Duration // before the answer
 	SecondAfter time.Duration // its answer comes again so much later, if nothing else waits on the connection; 0: it does not
 	Closes      bool          // the connection is closed after the answer, without having said so
+	IdleFor     time.Duration // or once it has been idle for so long; 0: it is kept
 }
 
 // hangFor bounds how long a target keeps silent: longer than any client waits.
@@ -170,6 +171,12 @@
 	if _, err := io.WriteString(c, says); err != nil || b.Closes {
 		return false
 	}
+	if b.IdleFor > 0 {
+		c.SetReadDeadline(time.Now().Add(b.IdleFor))
+		_, err := in.Peek(1)
+		c.SetReadDeadline(time.Time{})
+		return err == nil
+	}
 	if b.SecondAfter > 0 && !t.repeat(c, in, b.SecondAfter, says) {
 		return false
 	}
