front: count a request's time from when it may have come, if it waited behind another

Cause: arrival told when the last byte of a request was read. One that was sent behind another waits unread until that one has its answer, and then got all of its time anew: its answer came up to a deadline too late, or never, and its targets were told more than the client had left. Change: the connection notes since when bytes may have waited behind an open request, by whether net/http's look-out for the client's departure found one at once or had to wait for it, and forgets it once nothing waited. In the soak, the end of a connection that was used before and crosses a burst on its way is told from one over it, as it is for single requests.

--- a/internal/faulttest/client.go
+++ b/internal/faulttest/client.go
@@ -152,19 +152,27 @@
 	}
 	n.SetReadDeadline(taken.Add(q.Patience + answerSlack + giveUp))
 	defer n.SetReadDeadline(time.Time{})
-	o = readAnswer(bufio.NewReader(n), taken)
-	if o.err != nil {
-		o.Killed = c.killed.Load()
-		ended := errors.Is(o.err, io.EOF) || errors.Is(o.err, io.ErrUnexpectedEOF)
-		o.Unread = !o.begun && (errors.Is(o.err, syscall.ECONNRESET) && (reused || c.MayShut) ||
-			ended && reused && o.After < crossing+c.ledger.delays.Most(taken, o.At))
-	}
+	o = c.judged(readAnswer(bufio.NewReader(n), taken), reused, taken)
 	return o, o.err == nil && !o.closes
 }
 
+// judged notes why there is no answer: whether the initiator was killed, or ended the connection without having read the
+// request.
+func (c *Client) judged(o Outcome, reused bool, taken time.Time) Outcome {
+	if o.err == nil {
+		return o
+	}
+	o.Killed = c.killed.Load()
+	wasReset := errors.Is(o.err, syscall.ECONNRESET)
+	ended := errors.Is(o.err, io.EOF) || errors.Is(o.err, io.ErrUnexpectedEOF)
+	crossed := o.After < crossing+c.ledger.delays.Most(taken, o.At)
+	o.Unread = !o.begun && (wasReset && (reused || c.MayShut) || ended && reused && crossed)
+	return o
+}
+
 // Pipeline asks several requests at once on a connection of their own, and reads their answers in turn.
 func (c *Client) Pipeline(requests []Request) {
-	n, _, err := c.connect()
+	n, reused, err := c.connect()
 	if err != nil {
 		return
 	}
@@ -182,11 +190,10 @@
 	for _, q := range requests {
 		c.ledger.edit(q.ID, func(r *record) { r.taken, r.patience, r.unsafe = taken, q.Patience, q.Class.Unsafe })
 		n.SetReadDeadline(taken.Add(q.Patience + answerSlack + giveUp))
-		o := Outcome{Unread: closed, Killed: c.killed.Load()}
+		o := Outcome{Unread: closed}
 		if !closed {
-			o = readAnswer(in, taken)
+			o = c.judged(readAnswer(in, taken), reused, taken)
 			closed = o.closes
-			o.Killed = c.killed.Load()
 		}
 		c.ledger.edit(q.ID, func(r *record) { r.outcomes = append(r.outcomes, o) })
 		if o.Status == 0 && !closed {
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -33,18 +33,20 @@
 // clientConn notes when a client's bytes came and why its connection ended.
 type clientConn struct {
 	net.Conn
-	raw    syscall.RawConn           // nil where the system has none
-	taking sync.Mutex                // held while bytes are taken, and while it is decided to close the connection
-	at     atomic.Pointer[time.Time] // of the last read that brought bytes
-	asked  atomic.Int64              // requests of which a head has come
-	used   atomic.Bool               // a request has been answered on it
-	reason atomic.Pointer[string]
-	open   atomic.Pointer[string] // the id of the request that is open; nil: none is
-	phase  atomic.Int32
-	ahead  chan struct{} // closed once more than one request has come at a time; nil: not watched
-	once   sync.Once
-	since  time.Time // when it became quiet; under the table's lock
-	extra  bool      // past the cap, with none to make room
+	raw     syscall.RawConn           // nil where the system has none
+	taking  sync.Mutex                // held while bytes are taken, and while it is decided to close the connection
+	at      atomic.Pointer[time.Time] // of the last read that brought bytes
+	queued  atomic.Pointer[time.Time] // since when the next request may wait unread behind an open one; nil: none did
+	emptied bool                      // nothing more waited when net/http looked last; under its reader's lock
+	asked   atomic.Int64              // requests of which a head has come
+	used    atomic.Bool               // a request has been answered on it
+	reason  atomic.Pointer[string]
+	open    atomic.Pointer[string] // the id of the request that is open; nil: none is
+	phase   atomic.Int32
+	ahead   chan struct{} // closed once more than one request has come at a time; nil: not watched
+	once    sync.Once
+	since   time.Time // when it became quiet; under the table's lock
+	extra   bool      // past the cap, with none to make room
 }
 
 func (c *clientConn) Read(b []byte) (n int, err error) {
@@ -54,18 +56,53 @@
 	if c.raw == nil {
 		n, err = c.Conn.Read(b)
 		c.took(n)
-	} else if ended := c.raw.Read(func(fd uintptr) bool {
+	} else {
+		n, err = c.readRaw(b)
+	}
+	if err != nil {
+		c.end(c.readCause(err))
+	}
+	return n, err
+}
+
+// readRaw reads from the socket, and notes since when a request may have waited there behind an open one.
+func (c *clientConn) readRaw(b []byte) (n int, err error) {
+	before := c.at.Load()
+	blocked := false
+	ended := c.raw.Read(func(fd uintptr) bool {
 		n, err = c.take(int(fd), b)
+		blocked = blocked || err == syscall.EAGAIN
 		return err != syscall.EAGAIN
-	}); ended != nil {
+	})
+	if ended != nil {
 		n, err = 0, ended
 	}
-	if err != nil {
-		c.end(c.readCause(err))
+	if len(b) == lookoutSize {
+		c.noteBehind(before, blocked, n == 1)
+	} else if c.emptied || blocked {
+		c.queued.Store(nil) // what net/http reads now came after the request before
+		c.emptied = false
 	}
 	return n, err
 }
 
+// noteBehind notes what net/http's look-out for the client's departure found: whether nothing waited at first, and whether
+// the first byte of a further request came. One that waited may have come along with the request that is open.
+func (c *clientConn) noteBehind(openSince *time.Time, blocked, came bool) {
+	c.emptied = blocked && !came
+	if !came || c.queued.Load() != nil {
+		return
+	}
+	if blocked {
+		openSince = c.at.Load()
+	}
+	c.queued.Store(openSince)
+}
+
+// lookoutSize is the size of the reads by which net/http looks out for the client's departure while a request is open. No
+// other read of its is as small.
+const lookoutSize = 1
+
 // take reads what is there, and notes in the same step that it did: a connection that still looked quiet with a request
 // just read would be closed over it.
 func (c *clientConn) take(fd int, b []byte) (int, error) {
@@ -87,8 +124,8 @@
 		return 0, io.EOF
 	}
 	c.took(n)
-	if n == 1 && len(b) == 1 && c.ahead != nil {
-		// net/http looks out for the client's end by a read of one byte. With one in hand it looks no more.
+	if n == 1 && len(b) == lookoutSize && c.ahead != nil {
+		// With a byte in hand net/http looks out no more.
 		c.once.Do(func() { close(c.ahead) })
 	}
 	return n, nil
@@ -182,9 +219,17 @@
 	return &clientConn{}
 }
 
-// arrival is when the last byte of the request so far was read, which may be well before a busy process
-// gets to run its handler: the client's time runs from there.
+// arrival is from when the client's time runs: when the last byte of the request so far was read, which may be well before
+// a busy process gets to run its handler. Of one that was sent behind another, it is the earliest that it may have come.
 func (c *clientConn) arrival() time.Time {
+	if queued := c.queued.Load(); queued != nil {
+		return *queued
+	}
+	return c.lastRead()
+}
+
+// lastRead is when bytes came last.
+func (c *clientConn) lastRead() time.Time {
 	if at := c.at.Load(); at != nil {
 		return *at
 	}
@@ -281,7 +326,7 @@
 	defer t.mu.Unlock()
 	for c := range t.open {
 		switch phase := c.phase.Load(); {
-		case phase == reading && time.Since(c.arrival()) >= slow:
+		case phase == reading && time.Since(c.lastRead()) >= slow:
 			t.evict(c, reading, "REQUEST_LATE")
 		case phase == quiet && c.used.Load() && time.Since(c.since) >= idle && !t.left:
 			t.evict(c, quiet, "IDLE")
@@ -336,7 +381,7 @@
 				return 1
 			}
 		case reading:
-			if first && now.Sub(c.arrival()) > stalledFor {
+			if first && now.Sub(c.lastRead()) > stalledFor {
 				return 3
 			}
 		}
@@ -402,7 +447,7 @@
 	defer t.mu.Unlock()
 	for c := range t.open {
 		phase := c.phase.Load()
-		stalled := phase == reading && time.Since(c.arrival()) > stalledFor
+		stalled := phase == reading && time.Since(c.lastRead()) > stalledFor
 		if phase == quiet || phase == spent || all && stalled {
 			t.evict(c, phase, "LEAVING")
 		}
