--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -271,20 +271,6 @@
 	return &connTable{most: most, easy: min(easy, most), log: log, open: map[*clientConn]bool{}}
 }
 
-// listener wraps accepted connections.
-type listener struct {
-	net.Listener
-	table *connTable
-}
-
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return l.table.add(c), nil
-}
-
 func (t *connTable) add(c net.Conn) *clientConn {
 	cc := &clientConn{Conn: c, since: time.Now(), ahead: make(chan struct{})}
 	if sc, ok := c.(syscall.Conn); ok {
