--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -122,12 +122,15 @@
 	var c *core.Core
 	up := upstream.NewRegistry(upstream.Options{Wire: wire, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
 		MostConn: cfg.TargetConns(), MostAll: cfg.AllTargetConns(), Log: log}, func(r core.Result) { c.Report(r) })
-	c = core.New(module, up, core.NewClock(), core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, Log: log})
+	clock := core.NewClock()
+	c = core.New(module, up, clock, core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, Log: log})
 	var listed atomic.Bool
 	// The targets' actors hear before the module does: a send decided on the older list meets the newer one.
+	starts := discovery.NewStarts(time.Now, func() time.Duration { return clock.At(time.Now()) })
 	tell := func(l *discovery.List) {
 		up.Apply(targets(l), l.Full)
-		c.List(nodes(l))
+		starts.Apply(l)
+		c.List(nodes(l, starts))
 		listed.Store(true)
 	}
 	go c.Run(work)
@@ -207,10 +210,12 @@
 	return out
 }
 
-func nodes(l *discovery.List) spindlehitch.NodeList {
+func nodes(l *discovery.List, starts *discovery.Starts) spindlehitch.NodeList {
 	out := spindlehitch.NodeList{Whole: l.Full}
 	for _, e := range l.Servers {
-		out.Nodes = append(out.Nodes, e.Node())
+		n := e.Node()
+		n.Started = starts.At(e)
+		out.Nodes = append(out.Nodes, n)
 	}
 	return out
 }
