--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -74,27 +74,6 @@
 	return cfg, op, err
 }
 
-// reloads reads the configuration again at each SIGHUP and passes on where discovery is from then on; the rest of it
-// waits for the next start. One that cannot be served changes nothing.
-func reloads(hup <-chan os.Signal, getenv func(string) string, discovery string, log *slog.Logger) <-chan string {
-	moves := make(chan string)
-	go func() {
-		for range hup {
-			cfg, err := config.Reload(getenv)
-			if err != nil {
-				log.Error("configuration not taken", slog.String("reason", "BAD_CONFIG"), slog.Any("error", err))
-				continue
-			}
-			log.Info("configuration taken", slog.String("discovery", cfg.Discovery))
-			if cfg.Discovery != discovery {
-				discovery = cfg.Discovery
-				moves <- discovery
-			}
-		}
-	}()
-	return moves
-}
-
 // door is a front: it accepts until it is told to stop, and then finishes what it has taken.
 type door interface {
 	Serve(net.Listener) error
