Test: the refusal on an eviction waits for a client that does not read (fails)

Symptom: no client is accepted or closed any more, since one does not read its answers. Found by reading the mend of evictions again. Change: a test that evicts a connection with no room to write.

--- a/internal/front/holdup_test.go
+++ b/internal/front/holdup_test.go
@@ -135,3 +135,44 @@
 		t.Errorf("the end came after %v, %v; want it within %v", time.Since(begun), err, owed)
 	}
 }
+
+// TestRefusalOnEvictionDoesNotWait closes a connection over part of a request whose client reads none of its answers: there is
+// no room for a word to it, and the table, which is locked meanwhile, must not wait for some.
+func TestRefusalOnEvictionDoesNotWait(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	in, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	in.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+	for err == nil {
+		_, err = in.Write(make([]byte, 64<<10))
+	}
+	in.SetWriteDeadline(time.Time{})
+	table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
+	c := table.add(in)
+	c.phase.Store(reading)
+	closed := make(chan bool, 1)
+	go func() {
+		table.mu.Lock()
+		defer table.mu.Unlock()
+		closed <- table.evict(c, reading, "CAP")
+	}()
+	select {
+	case ok := <-closed:
+		if !ok {
+			t.Error("not closed")
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the table waits for a client that does not read")
+	}
+}
