front: write the refusal on an eviction only as far as there is room at once

Cause: evict wrote to the client's socket under the table's lock, on the ground that nothing was written on it before. That holds for new connections only: one that was used may have answers that its client does not read. Change: one write that does not wait.

--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -153,6 +153,17 @@
 	return n, err
 }
 
+// writeNow writes what there is room for at once: a client that does not read its answers must hold up no one.
+func (c *clientConn) writeNow(text string) {
+	if c.raw == nil {
+		return
+	}
+	c.raw.Write(func(fd uintptr) bool {
+		syscall.Write(int(fd), []byte(text))
+		return true
+	})
+}
+
 // CloseWrite lets net/http half-close, so that an answer is not lost to a reset by bytes it never read.
 func (c *clientConn) CloseWrite() error {
 	if h, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -339,8 +350,7 @@
 		return false
 	}
 	if phase == reading {
-		// Nothing has been written before, so there is room for it: it does not wait.
-		io.WriteString(c.Conn, lateRefusal)
+		c.writeNow(lateRefusal)
 	}
 	c.Conn.Close()
 	delete(t.open, c)
