serve: cut no request short for a successor

Cause: the mend of requests open at SIGTERM also cut those of a predecessor that a successor has replaced, which no SIGKILL follows. Change: only what ends the program itself tells the core to leave.

--- a/cmd/spindlehitch/follow.go
+++ b/cmd/spindlehitch/follow.go
@@ -58,7 +58,7 @@
 			}
 			log.Info("configuration taken", slog.Uint64("version", e.Version))
 			if old := now; old != nil {
-				old.leave()
+				old.leave(errSucceeded)
 				leaving.Go(func() { <-old.ended })
 			}
 			now = next
@@ -66,9 +66,12 @@
 	}
 }
 
+// errSucceeded ends a generation whose successor is up.
+var errSucceeded = errors.New("a successor serves")
+
 // generation is a running initiator of one configuration.
 type generation struct {
-	leave context.CancelFunc
+	leave context.CancelCauseFunc
 	ended chan error
 }
 
@@ -87,7 +90,7 @@
 			return nil, err
 		}
 	}
-	ctx, leave := context.WithCancel(stop)
+	ctx, leave := context.WithCancelCause(stop)
 	g := &generation{leave, make(chan error, 1)}
 	up := make(chan struct{})
 	go func() { g.ended <- serve(ctx, cfg, op, log, func() { close(up) }, nil) }()
@@ -95,7 +98,7 @@
 	case <-up:
 		return g, nil
 	case err := <-g.ended:
-		leave()
+		leave(err)
 		return nil, err
 	}
 }
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -167,7 +167,9 @@
 	case <-stop.Done():
 	}
 	log.Info("leaving", slog.String("reason", "STOPPED"), slog.Int("open", c.Open()))
-	c.Leave(time.Now().Add(core.ShutdownFor(cfg.Longest()).LastAnswer))
+	if !errors.Is(context.Cause(stop), errSucceeded) { // a predecessor is not killed
+		c.Leave(time.Now().Add(core.ShutdownFor(cfg.Longest()).LastAnswer))
+	}
 	bound, done := context.WithTimeout(context.Background(), max(cfg.Longest(), 3*time.Second)+600*time.Millisecond)
 	defer done()
 	ended := make(chan error, len(doors))
