front: fill the socket to the last byte in the test of refusals on eviction

Change: the test fills the socket with single bytes as well. Measured: it fails on the code before the mend (the table stands still for the 5 s that the test waits, 1 run), and passes on this.

--- a/internal/front/holdup_test.go
+++ b/internal/front/holdup_test.go
@@ -153,9 +153,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	in.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
-	for err == nil {
-		_, err = in.Write(make([]byte, 64<<10))
+	// Down to the last byte: the system takes some more of a small write than of a large one.
+	for _, size := range []int{64 << 10, 1} {
+		in.SetWriteDeadline(time.Now().Add(500 * time.Millisecond))
+		for err = nil; err == nil; {
+			_, err = in.Write(make([]byte, size))
+		}
 	}
 	in.SetWriteDeadline(time.Time{})
 	table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
