--- a/api.go
+++ b/api.go
@@ -1,7 +1,7 @@
 // Package spindlehitch decides, for one initiator of a shared disk pool, when each
 // request leaves for the node that holds its data, and how each request ends.
 //
-// The decisions are in scheduler.go; this file is the whole interface.
+// The decisions begin in scheduler.go; this file is the whole interface.
 package spindlehitch
 
 import (
--- a/state.go
+++ b/state.go
@@ -1,6 +1,6 @@
 package spindlehitch
 
-// What the module in scheduler.go keeps, and small helpers. No decision is taken here.
+// What the scheduler keeps, and small helpers. No decision is taken here.
 
 import (
 	"maps"
