--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -769,3 +769,30 @@
 		t.Errorf("%d answered after %v, want both when the window has passed", len(r.ends), took)
 	}
 }
+
+// TestLeavingCutsTime tells that the initiator ends within 0.5 s: a held request, one that comes later and one
+// whose attempt is called off then have their answers by that time, where they had 2 s.
+func TestLeavingCutsTime(t *testing.T) {
+	r := newRig(t, plain(), up("n", 0))
+	r.step(req("out", "v", 1))
+	held := req("held", "v", 1)
+	held.Shard = 1 // no node has it
+	r.step(held)
+	r.wait(100 * ms)
+	leaving := r.now
+	r.step(Leaving{Within: 500 * ms})
+	late := req("late", "v", 1)
+	late.Shard = 1
+	r.wait(400 * ms)
+	r.step(late)
+	r.wait(100 * ms)
+	r.end("out", Cancelled, 600*ms)
+	r.wait(5 * ms)
+	ended := map[string]bool{}
+	for _, a := range r.ends {
+		ended[a.Request] = true
+	}
+	if !ended["held"] || !ended["late"] || !ended["out"] || len(r.ends) != 3 {
+		t.Errorf("ended %v after %v, want one end for each of three", r.ends, r.now-leaving)
+	}
+}
