Test: requests behind a failing accept get all of their time anew (fails), and shortages in the soak

Symptom: a request has its answer after its client's time, and its target is told more time than the client has left. Change: a test of the front whose listener fails for 0.3 s; in the soak the process is left no descriptor to open for up to 0.6 s (its limit is lowered and put back), so that accept, socket and open fail. An initiator of the tests has a loopback address of its own now: in one run a stand-in took its port while it was restarted.

--- a/internal/faulttest/process.go
+++ b/internal/faulttest/process.go
@@ -2,18 +2,19 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Build builds the initiator's program into a folder and returns its path.
@@ -170,6 +171,24 @@
 	p.Signal(syscall.SIGCONT)
 }
 
+// Starve leaves the process no descriptor to open for a while, so that accept, socket and open fail. What is open stays.
+func (p *Process) Starve(d time.Duration) error {
+	var had unix.Rlimit
+	pid := p.cmd.Process.Pid
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &had); err != nil {
+		return err
+	}
+	none := unix.Rlimit{Cur: leastDescriptors, Max: had.Max}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &none, nil); err != nil {
+		return err
+	}
+	time.Sleep(d)
+	return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &had, nil)
+}
+
+// leastDescriptors is fewer than any initiator has open.
+const leastDescriptors = 4
+
 // stopped tells whether the process stands still after SIGSTOP.
 func (p *Process) stopped() bool {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
@@ -219,13 +238,12 @@
 	return found.String()
 }
 
-// FreeAddress finds a port of the loopback that nobody listens on.
-func FreeAddress() (string, error) {
-	var lc net.ListenConfig
-	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
+// addresses counts the addresses given out.
+var addresses atomic.Int32
+
+// Address returns an address of the loopback for an initiator alone: a port of the stand-ins' own host might be taken by one
+// of them while the initiator is restarted.
+func Address() string {
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:8080", 1+os.Getpid()%250, n/250, 1+n%250)
 }
--- a/internal/faulttest/regression_test.go
+++ b/internal/faulttest/regression_test.go
@@ -67,10 +67,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen, err := FreeAddress()
-	if err != nil {
-		t.Fatal(err)
-	}
+	listen := Address()
 	w.process, err = Start(program, t.TempDir(), Setup{Listen: listen, Discovery: asked, Classes: []Class{class}, Cores: 1, Sockets: 512})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -1,6 +1,7 @@
 package faulttest
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -88,7 +89,7 @@
 	}
 	t.Cleanup(func() { s.process.Kill() })
 	var parts sync.WaitGroup
-	for part, run := range []func(*rand.Rand){s.usualClients, s.badClients, s.holdUps, s.drains, s.moves, s.restart, s.idleCrowd} {
+	for part, run := range []func(*rand.Rand){s.usualClients, s.badClients, s.holdUps, s.drains, s.moves, s.restart, s.idleCrowd, s.shortages} {
 		parts.Go(func() { run(s.random(uint64(part) + 10)) })
 	}
 	time.Sleep(soakFor)
@@ -117,10 +118,7 @@
 func (s *soak) start() bool {
 	var err error
 	if s.setup.Listen == "" {
-		if s.setup.Listen, err = FreeAddress(); err != nil {
-			s.t.Error(err)
-			return false
-		}
+		s.setup.Listen = Address()
 	}
 	if s.asked == "" {
 		if s.asked, err = s.discovery.Listen(); err != nil {
@@ -318,6 +316,21 @@
 	}
 }
 
+// shortages leaves the process no descriptors now and then.
+func (s *soak) shortages(rng *rand.Rand) {
+	for {
+		select {
+		case <-s.over:
+			return
+		case <-time.After(time.Duration(1000+rng.IntN(2000)) * time.Millisecond):
+		}
+		process, _ := s.current()
+		if err := process.Starve(time.Duration(rng.IntN(600)) * time.Millisecond); err != nil && !errors.Is(err, syscall.ESRCH) {
+			s.t.Error(err)
+		}
+	}
+}
+
 // drains replaces targets: one drains, another takes its shard, and the first is gone later on.
 func (s *soak) drains(rng *rand.Rand) {
 	var open sync.WaitGroup
--- a/internal/front/accept_test.go
+++ b/internal/front/accept_test.go
@@ -2,25 +2,31 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"spindlehitch/internal/core"
 )
 
-// failingListener fails with each of its errors before it accepts.
+// failingListener fails with each of its errors, and for want of descriptors up to a time, before it accepts.
 type failingListener struct {
 	net.Listener
-	mu   sync.Mutex
-	errs []error
+	mu    sync.Mutex
+	errs  []error
+	until time.Time
 }
 
 func (l *failingListener) Accept() (net.Conn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if time.Now().Before(l.until) {
+		l.errs = append(l.errs, syscall.EMFILE)
+	}
 	if len(l.errs) == 0 {
 		return l.Listener.Accept()
 	}
@@ -64,3 +70,47 @@
 		t.Errorf("ended with %v, want %v", err, syscall.EINVAL)
 	}
 }
+
+// TestRequestBehindAFailingAcceptHasArrived
+//
+// Symptom: a request had its answer after its client's time was over, and its target was told more time than the client had left.
+// Sequence: accept fails for 0.3 s, for want of descriptors. A client connects and asks meanwhile; its connection waits at the
+// listener, and its request is read 0.3 s later.
+// Cause: a request's time was counted from when it was read, as if nothing could have waited before the connection was taken.
+// Settled by the log: "accept failed", and "request taken" with age=10µs for a request that was sent 0.3 s before.
+func TestRequestBehindAFailingAcceptHasArrived(t *testing.T) {
+	const failsFor = 300 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := &failingListener{Listener: l, until: time.Now().Add(failsFor)}
+	s, b, _ := newFront(t, 64)
+	go s.Serve(failing)
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	sent := time.Now()
+	io.WriteString(c, goodRead)
+	j := <-b.jobs
+	if late := j.Arrived.Sub(sent); late > failsFor/10 {
+		t.Errorf("the request came %v after it was sent", late)
+	}
+	j.Done(core.Answer{Payload: []byte("x")})
+	// Once the listener has nothing left that waited, a connection is as new as it looks.
+	time.Sleep(failsFor)
+	fresh, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer fresh.Close()
+	sent = time.Now()
+	io.WriteString(fresh, goodRead)
+	j = <-b.jobs
+	if j.Arrived.Before(sent) {
+		t.Errorf("the request came %v before it was sent", sent.Sub(j.Arrived))
+	}
+	j.Done(core.Answer{Payload: []byte("x")})
+}
