--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -99,7 +99,7 @@
 			}
 		}
 	}()
-	err := s.http.Serve(listener{l, s.conns})
+	err := s.http.Serve(&listener{Listener: l, table: s.conns})
 	if errors.Is(err, http.ErrServerClosed) || s.left.Load() != nil {
 		return nil
 	}
@@ -114,8 +114,9 @@
 	s.conns.leave()
 	core.Pause(ctx, now.Add(core.LingerFor))
 	if l := s.listener.Load(); l != nil {
-		// The time may be over before the goroutine that accepts has run: what waits there is a client's.
-		socket.CloseListener(*l)
+		// The time may be over before the goroutine that accepts has run, or while accept fails: what waits there is a
+		// client's.
+		socket.CloseListener(*l, now.Add(s.shutdown.AnswerBy))
 	}
 	core.Pause(ctx, now.Add(s.shutdown.ServeFor))
 	// Not by http.Server.Shutdown: it closes what net/http calls idle, and that may have a request half read.
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -185,7 +185,7 @@
 	listener := s.listener
 	s.mu.Unlock()
 	if listener != nil {
-		socket.CloseListener(listener)
+		socket.CloseListener(listener, now.Add(s.shutdown.AnswerBy))
 	}
 	core.Pause(ctx, now.Add(s.shutdown.ServeFor))
 	s.leaving.Store(true)
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -53,12 +53,9 @@
 	return there, err
 }
 
-// acceptWithin bounds how long CloseListener waits for connections to be taken.
-const acceptWithin = 100 * time.Millisecond
-
-// CloseListener closes a listener once the connections that the machine has accepted on it have been taken. Somebody must
-// be accepting: those left are reset.
-func CloseListener(l net.Listener) error {
+// CloseListener closes a listener once the connections that the machine has accepted on it have been taken, or at the latest
+// then. Somebody must be accepting: those left are reset.
+func CloseListener(l net.Listener, latest time.Time) error {
 	sc, ok := l.(syscall.Conn)
 	if !ok {
 		return l.Close()
@@ -67,7 +64,7 @@
 	if err != nil {
 		return l.Close()
 	}
-	for end := time.Now().Add(acceptWithin); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for ; time.Now().Before(latest); time.Sleep(time.Millisecond) {
 		if waiting, err := polled(raw, unix.POLLIN); err != nil || !waiting {
 			break
 		}
