--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -46,6 +46,7 @@
 	discovery *Discovery
 	asked     string // the address of discovery
 	setup     Setup
+	killAfter time.Duration // how soon SIGKILL follows SIGTERM
 	dir       string
 	process   *Process
 	processes []*Process // all there were
@@ -111,6 +112,7 @@
 		{Name: "export", Deadline: deadlines[2] * time.Millisecond},
 		{Name: "once", Deadline: deadlines[1] * time.Millisecond, Unsafe: true},
 	}
+	s.killAfter = s.setup.KillAfter()
 	s.setup.Cores, s.setup.Sockets = 1, 512
 	if s.crowd = rng.IntN(3) == 0; s.crowd {
 		s.setup.Sockets = 192
@@ -422,7 +424,7 @@
 			time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 		}
 		time.AfterFunc(newConnectionsFor-time.Since(told), client.StopConnecting)
-		process.Await(time.Until(told.Add(s.setup.KillAfter())))
+		process.Await(time.Until(told.Add(s.killAfter)))
 		s.holding.Lock()
 		process.Kill()
 	}
