Test: a resting connection is closed over a request that came after the look (fails)

The process logged nothing for 0.18 s, and then closed nine resting connections to make room for a burst of new ones. Change: a test of the front in which the close of a connection comes late, and one with the real program held up over the 2 s of new connections.

--- a/internal/faulttest/regression_test.go
+++ b/internal/faulttest/regression_test.go
@@ -207,3 +207,40 @@
 		clients.Wait()
 	}
 }
+
+// frontReadTimeout is how long the initiator waits for the first request of a connection.
+const frontReadTimeout = 2 * time.Second
+
+// TestRequestAtTheReadTimeoutIsAnswered
+//
+// Symptom: a request had its connection closed with no answer.
+// Sequence: a client opens a connection and sends its first request just before the 2 s that it has for that are over, while the
+// initiator is held up. It goes on after the 2 s.
+// Cause: the time-out ended the connection by the clock, with no look at what had come by then.
+// Settled by this test: the clients' connections are reset, and the log has them as SILENT.
+func TestRequestAtTheReadTimeoutIsAnswered(t *testing.T) {
+	w := newWorld(t, serveAtOnce)
+	begun := time.Now()
+	var conns []net.Conn
+	for range 8 {
+		n, err := net.Dial("tcp", w.client.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer n.Close()
+		conns = append(conns, n)
+	}
+	time.Sleep(time.Until(begun.Add(frontReadTimeout - 70*time.Millisecond)))
+	var clients sync.WaitGroup
+	w.process.HoldUp(140*time.Millisecond, func() {
+		for i, n := range conns {
+			clients.Go(func() {
+				q := Request{ID: fmt.Sprintf("r%d", i), Class: read, Patience: read.Deadline}
+				o, _ := w.client.exchange(n, false, q)
+				w.ledger.edit(q.ID, func(r *record) { r.outcomes = append(r.outcomes, o) })
+			})
+		}
+	})
+	clients.Wait()
+	w.judge(t)
+}
--- a/internal/front/holdup_test.go
+++ b/internal/front/holdup_test.go
@@ -179,3 +179,58 @@
 		t.Fatal("the table waits for a client that does not read")
 	}
 }
+
+// slowToClose is a connection whose Close waits, as if the process were busy with something else first.
+type slowToClose struct {
+	*net.TCPConn
+	goOn chan bool
+}
+
+func (c slowToClose) Close() error {
+	<-c.goOn
+	return c.TCPConn.Close()
+}
+
+// TestEvictionEndsWithItsLook
+//
+// Symptom: a request had its connection closed with no answer, 0.107 s after it was sent.
+// Sequence: a burst of new connections comes. To make room, a resting connection is looked at, nothing is unread on it, and it
+// is to be closed. The process is busy with the burst for 0.18 s before it comes to that. A request comes in between, and the
+// connection is closed over it.
+// Cause: the look and the end were apart: the look is a system call after which other goroutines run, and the end came at the
+// close of the connection, steps later.
+// Settled by the log: a gap of 0.18 s, then "connection ended" reason=CAP phase=EVICTED for connections that were used
+// before, one of them the client's; no line has the request.
+func TestEvictionEndsWithItsLook(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	in, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	goOn := make(chan bool)
+	table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
+	c := table.add(slowToClose{in.(*net.TCPConn), goOn})
+	closed := make(chan bool, 1)
+	go func() {
+		table.mu.Lock()
+		defer table.mu.Unlock()
+		closed <- table.evict(c, quiet, "CAP")
+	}()
+	client.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("before the close: %v, want the client told that the connection is over", err)
+	}
+	goOn <- true
+	if !<-closed {
+		t.Error("not closed")
+	}
+}
