front: end a resting connection in the same step as the look at it

Cause: conns.go, evict: the look at a connection (a system call that lets other goroutines run) and its close were apart. A read time-out ended a connection with no look at all. Change: socket.EndQuiet looks and shuts the connection down by two system calls that follow one another on the same thread, with no scheduling between; whatever comes later meets the end on its way, and its client asks again. When a read time-out runs out, what has come by then is read, and a resting connection is ended in the same way. The soak counts a reset of a connection that was used as a loss where the request was there for longer than it is on its way.

--- a/internal/faulttest/client.go
+++ b/internal/faulttest/client.go
@@ -166,7 +166,8 @@
 	wasReset := errors.Is(o.err, syscall.ECONNRESET)
 	ended := errors.Is(o.err, io.EOF) || errors.Is(o.err, io.ErrUnexpectedEOF)
 	crossed := o.After < crossing+c.ledger.delays.Most(taken, o.At)
-	o.Unread = !o.begun && (wasReset && (reused || c.MayShut) || ended && reused && crossed)
+	shut := wasReset && !reused && c.MayShut
+	o.Unread = !o.begun && (shut || (wasReset || ended) && reused && crossed)
 	return o
 }
 
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -74,7 +74,10 @@
 		blocked = blocked || err == syscall.EAGAIN
 		return err != syscall.EAGAIN
 	})
-	if ended != nil {
+	switch {
+	case errors.Is(ended, os.ErrDeadlineExceeded) && len(b) > lookoutSize:
+		n, err = c.readOrEnd(b, ended)
+	case ended != nil:
 		n, err = 0, ended
 	}
 	if len(b) == lookoutSize {
@@ -86,6 +89,28 @@
 	return n, err
 }
 
+// readOrEnd reads what has come by the time at which a read was to end; if nothing has, it ends a connection that rests in
+// the same step. The process may have been held up past that time with a request here.
+func (c *clientConn) readOrEnd(b []byte, ended error) (n int, err error) {
+	if c.phase.Load() == quiet {
+		reason := c.readCause(ended)
+		c.taking.Lock()
+		over := c.endNow(quiet)
+		c.taking.Unlock()
+		if over {
+			c.end(reason)
+			return 0, ended
+		}
+	}
+	if failed := c.raw.Control(func(fd uintptr) { n, err = c.take(int(fd), b) }); failed != nil {
+		return 0, failed
+	}
+	if err == syscall.EAGAIN {
+		return 0, ended
+	}
+	return n, err
+}
+
 // noteBehind notes what net/http's look-out for the client's departure found: whether nothing waited at first, and whether
 // the first byte of a further request came. One that waited may have come along with the request that is open.
 func (c *clientConn) noteBehind(openSince *time.Time, blocked, came bool) {
@@ -153,15 +178,17 @@
 	return n, err
 }
 
-// writeNow writes what there is room for at once: a client that does not read its answers must hold up no one.
-func (c *clientConn) writeNow(text string) {
-	if c.raw == nil {
-		return
-	}
-	c.raw.Write(func(fd uintptr) bool {
-		syscall.Write(int(fd), []byte(text))
-		return true
-	})
+// endNow ends a connection that is still in the phase, unless bytes are on their way to it. What is refused already is let
+// go whatever comes.
+func (c *clientConn) endNow(phase int32) bool {
+	claim := func() bool { return c.phase.CompareAndSwap(phase, evicted) }
+	switch phase {
+	case spent:
+		return claim()
+	case reading:
+		return socket.EndQuiet(c.Conn, lateRefusal, claim)
+	}
+	return socket.EndQuiet(c.Conn, "", claim)
 }
 
 // CloseWrite lets net/http half-close, so that an answer is not lost to a reset by bytes it never read.
@@ -340,7 +367,7 @@
 // locked.
 func (t *connTable) evict(c *clientConn, phase int32, reason string) bool {
 	c.taking.Lock()
-	free := (phase == spent || socket.Quiet(c.Conn)) && c.phase.CompareAndSwap(phase, evicted)
+	free := c.endNow(phase)
 	if free {
 		c.end(reason)
 	}
@@ -349,9 +376,6 @@
 	if !free {
 		return false
 	}
-	if phase == reading {
-		c.writeNow(lateRefusal)
-	}
 	c.Conn.Close()
 	delete(t.open, c)
 	return true
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -5,6 +5,7 @@
 	"net"
 	"syscall"
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -29,6 +30,38 @@
 	return err == nil && quiet
 }
 
+// EndQuiet ends a connection in both directions if it is open and nothing has come on it that was not read; claim is asked
+// in between and may say no. Last words, if any, are sent as far as there is room at once. The system calls follow one
+// another with no other goroutine between them: a busy process may take long to come back to this one, and what came
+// meanwhile would be lost with the connection. What comes later is answered with a reset. The connection is still to be closed.
+func EndQuiet(c net.Conn, lastWords string, claim func() bool) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return claim()
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	words := []byte(lastWords)
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, errno := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&one[0])), uintptr(len(one)),
+			syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+		if errno != syscall.EAGAIN || !claim() {
+			return
+		}
+		if len(words) > 0 {
+			syscall.RawSyscall6(syscall.SYS_SENDTO, fd, uintptr(unsafe.Pointer(&words[0])), uintptr(len(words)),
+				syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, 0, 0)
+		}
+		syscall.RawSyscall(syscall.SYS_SHUTDOWN, fd, syscall.SHUT_RDWR, 0)
+		ended = true
+	})
+	return err == nil && ended
+}
+
 // PeerGone tells whether the other side has closed or reset a connection, also where bytes that came before are still
 // unread. A connection that was closed on this side counts as well.
 func PeerGone(c net.Conn) bool {
