--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -604,6 +604,25 @@
 	}
 }
 
+// connPair returns both ends of a connection over the loopback.
+func connPair(t *testing.T) (client, accepted net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if client, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	if accepted, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return client, accepted
+}
+
 // afterRead does something once bytes have been taken, before the reader gets to see them.
 type afterRead struct {
 	syscall.RawConn
@@ -619,20 +638,7 @@
 // TestEvictionMeetsRead closes a quiet connection to make room in the moment in which a request was read on it: it is
 // not closed then. One that was closed gives no byte any more.
 func TestEvictionMeetsRead(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	in, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	client, in := connPair(t)
 	table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
 	c := table.add(in)
 	evict := func() bool {
@@ -673,20 +679,7 @@
 // TestEvictionDuringRead closes a quiet connection while a read on it has begun: Close waits for that read, so neither
 // may wait for the other, or the table with all its connections stands still.
 func TestEvictionDuringRead(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	in, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	_, in := connPair(t)
 	table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
 	c := table.add(in)
 	read := inRead{c.raw, make(chan bool), make(chan bool)}
--- a/internal/front/holdup_test.go
+++ b/internal/front/holdup_test.go
@@ -139,25 +139,14 @@
 // TestRefusalOnEvictionDoesNotWait closes a connection over part of a request whose client reads none of its answers: there is
 // no room for a word to it, and the table, which is locked meanwhile, must not wait for some.
 func TestRefusalOnEvictionDoesNotWait(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	in, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	_, in := connPair(t)
 	// Down to the last byte: the system takes some more of a small write than of a large one.
 	for _, size := range []int{64 << 10, 1} {
 		in.SetWriteDeadline(time.Now().Add(500 * time.Millisecond))
-		for err = nil; err == nil; {
-			_, err = in.Write(make([]byte, size))
+		for {
+			if _, err := in.Write(make([]byte, size)); err != nil {
+				break
+			}
 		}
 	}
 	in.SetWriteDeadline(time.Time{})
@@ -202,20 +191,7 @@
 // Settled by the log: a gap of 0.18 s, then "connection ended" reason=CAP phase=EVICTED for connections that were used
 // before, one of them the client's; no line has the request.
 func TestEvictionEndsWithItsLook(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	in, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	client, in := connPair(t)
 	goOn := make(chan bool)
 	table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
 	c := table.add(slowToClose{in.(*net.TCPConn), goOn})
