--- a/internal/clienthttp/accept.go
+++ b/internal/clienthttp/accept.go
@@ -75,6 +75,7 @@
 // given up. The accept queue is known to be empty once accept has had to wait.
 func (l *listener) addConn(conn net.Conn, acceptDuration time.Duration) net.Conn {
 	c := l.table.add(conn)
+	c.acceptTook = acceptDuration
 	if acceptDuration > acceptWaitThreshold {
 		l.acceptQueuedSince = time.Time{}
 	}
--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -71,13 +71,18 @@
 	// idleSince is when the connection was accepted, last became idle, or could not be evicted since a request was arriving.
 	// Guarded by connTable.mutex.
 	idleSince time.Time
+	// acceptedAt is when the connection was accepted, and acceptTook how long that accept had been waiting. Set before the
+	// first read.
+	acceptedAt time.Time
+	acceptTook time.Duration
 	// overLimit is whether the connection was accepted over the limit with none to evict for it. Set before the first read.
 	overLimit bool
 }
 
 // newClientConn wraps an accepted connection, from which nothing has been read.
 func newClientConn(conn net.Conn) *clientConn {
-	c := &clientConn{Conn: conn, idleSince: time.Now(), closeUndetected: make(chan struct{})}
+	now := time.Now()
+	c := &clientConn{Conn: conn, idleSince: now, acceptedAt: now, closeUndetected: make(chan struct{})}
 	if raw, ok := conn.(syscall.Conn); ok {
 		c.rawConn, _ = raw.SyscallConn()
 	}
--- a/internal/clienthttp/handler.go
+++ b/internal/clienthttp/handler.go
@@ -50,6 +50,7 @@
 	if len(message.Body) > 0 { // the request is complete only now
 		receivedAt = conn.earliestArrival()
 	}
+	s.logLateRead(conn, call.ClientRequestID)
 	liftReadDeadline(w)
 	call.ReceivedAt = receivedAt
 	call.ClientTimeout = s.shutdown.LimitTimeout(call.ClientTimeout, receivedAt, s.shutdownAt.Load())
--- a/internal/dispatcher/calllog.go
+++ b/internal/dispatcher/calllog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 )
 
 // Log events of a request, in this order, with upstream's "attempt begins" between the second and the third. After
@@ -14,6 +15,12 @@
 	eventRequestEnded      = "request ended"
 )
 
+// eventStepLate says that the event loop ran late, as when the process or the machine stood still.
+const eventStepLate = "step was late"
+
+// lateStepThreshold is how late a step must be to be logged.
+const lateStepThreshold = 20 * time.Millisecond
+
 // Fields of these log lines. Durations are from the last byte of the request (age) or from the attempt's start (latency).
 const (
 	fieldRequest        = "request" // the client's id for it
@@ -27,6 +34,7 @@
 	fieldAttempts       = "attempts" // how many were sent
 	fieldInFlight       = "in_flight"
 	fieldLatency        = "latency"
+	fieldLate           = "late"         // by how much a step was late
 	fieldLastAttempt    = "last_attempt" // its status; absent if there was no attempt
 )
 
@@ -43,3 +51,13 @@
 	attrs = append(attrs, slog.String(fieldRequest, call.ClientRequestID))
 	d.options.Logger.LogAttrs(ctx, slog.LevelDebug, event, attrs...)
 }
+
+// logLateStep logs, at debug level, by how much the step at the given time comes after the timer that asked for it.
+func (d *Dispatcher) logLateStep(now time.Time) {
+	if d.nextTimer.IsZero() {
+		return
+	}
+	if late := now.Sub(d.nextTimer); late >= lateStepThreshold {
+		d.options.Logger.Debug(eventStepLate, slog.Duration(fieldLate, late))
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -108,7 +108,9 @@
 		case <-timer.C:
 		}
 		messages := d.inbox.Take(spare)
-		d.step(time.Now(), messages)
+		now := time.Now()
+		d.logLateStep(now)
+		d.step(now, messages)
 		spare = messages
 		if !d.nextTimer.IsZero() {
 			timer.Reset(time.Until(d.nextTimer))
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -16,6 +16,9 @@
 // acceptQueuePollInterval is how often CloseListenerWhenEmpty checks the accept queue.
 const acceptQueuePollInterval = time.Millisecond
 
+// maxClockTick is the longest tick of the kernel's clock, by which it counts the age of data.
+const maxClockTick = 10 * time.Millisecond
+
 // peekFlags make a receive look at the first byte without taking it and without waiting.
 const peekFlags = syscall.MSG_PEEK | syscall.MSG_DONTWAIT
 
@@ -108,6 +111,21 @@
 	return happened, err
 }
 
+// SinceLastData returns how long ago the last bytes from the other side arrived at this machine, whether or not they have been
+// read since. It is never more than the true time, and at most two ticks of the kernel's clock less. ok is false where the
+// kernel does not say, or the socket is closed on this side.
+func SinceLastData(rawConn syscall.RawConn) (elapsed time.Duration, ok bool) {
+	var info *unix.TCPInfo
+	var infoError error
+	err := rawConn.Control(func(fd uintptr) {
+		info, infoError = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || infoError != nil {
+		return 0, false
+	}
+	return max(time.Duration(info.Last_data_recv)*time.Millisecond-maxClockTick, 0), true
+}
+
 // CloseListenerWhenEmpty closes a listener once its accept queue is empty, or at the deadline. Another goroutine must be
 // accepting. It returns the error of Close.
 //
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -212,3 +212,35 @@
 		t.Errorf("quiet %v, closed by peer %v", IsQuiet(conn), IsPeerClosed(conn))
 	}
 }
+
+// TestSinceLastData checks that the wait of bytes at this machine is known before and after they are read, and that it is never
+// said to be longer than it was.
+func TestSinceLastData(t *testing.T) {
+	const waits = 60 * time.Millisecond
+	client, accepted := connPair(t)
+	rawConn, err := accepted.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	sentAt := time.Now()
+	write(t, client, "ab")
+	check := func(when string) {
+		t.Helper()
+		elapsed, ok := SinceLastData(rawConn)
+		if longest := time.Since(sentAt); !ok || elapsed < waits/2 || elapsed > longest {
+			t.Errorf("%s: %v, %v; want at most %v", when, elapsed, ok, longest)
+		}
+	}
+	time.Sleep(waits)
+	check("unread")
+	if _, err := io.ReadFull(accepted, make([]byte, 2)); err != nil {
+		t.Fatal(err)
+	}
+	check("read")
+	if err := accepted.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if elapsed, ok := SinceLastData(rawConn); ok {
+		t.Errorf("closed: %v, want nothing", elapsed)
+	}
+}
