--- a/internal/clienthttp/accept.go
+++ b/internal/clienthttp/accept.go
@@ -79,8 +79,6 @@
 	if acceptDuration > acceptWaitThreshold {
 		l.acceptQueuedSince = time.Time{}
 	}
-	if since := l.acceptQueuedSince; !since.IsZero() {
-		c.queuedSince.Store(&since)
-	}
+	c.emptyAt = l.acceptQueuedSince
 	return c
 }
--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -1,6 +1,7 @@
 package clienthttp
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -15,22 +16,16 @@
 	"dapplegate/internal/socket"
 )
 
-// backgroundReadSize is the size, in bytes, of the reads by which net/http detects that the client closes while a request
-// is in flight.
-const backgroundReadSize = 1
+// readAheadSize is the size, in bytes, of the read that follows a background read which found the next request.
+const readAheadSize = 4 << 10
 
-// isBackgroundRead reports whether the buffer is that of a background read, by its size alone. Another read is as small only
-// if net/http's read buffer, or its limit on the head, has one byte left. Such a read is taken for a background read: the
-// handler then checks by itself for a close, and the request may count as received earlier than it was.
-func isBackgroundRead(buffer []byte) bool {
-	return len(buffer) == backgroundReadSize
-}
-
-// clientConn is a client's connection. It records when bytes were read and why the connection ended. Its reads and its close
-// exclude each other, so that no request that has just been read is closed over.
+// clientConn is a client's connection. It gives net/http the bytes of one request at a time and keeps those that follow, so
+// that it knows whether anything of a further request has been read. It records when requests arrived and why the connection
+// ended. Its reads and its close exclude each other, so that no request that has just been read is closed over.
 //
 // One goroutine reads at a time: the one that serves the connection, or net/http's background read while a request is in
-// flight. "Reader" below is either; "state hook" is connTable.onConnState.
+// flight, by which net/http detects that the client closes. "Reader" below is either; "state hook" is
+// connTable.onConnState, which runs while nobody reads.
 type clientConn struct {
 	net.Conn
 	// rawConn is nil where the connection offers none, in which case reads go through Conn.
@@ -42,12 +37,9 @@
 
 	// state is written by the reader, the handler, the state hook and the table, by the transitions of connState.
 	state atomicConnState
-	// lastReadAt is when bytes were last read; nil: none were. Written by the reader, read by the handler and the table.
+	// lastReadAt is when bytes were last read, or when net/http went on to bytes that had been read ahead; nil: none were.
+	// Written by the reader and the state hook, read by the table.
 	lastReadAt atomic.Pointer[time.Time]
-	// queuedSince is the earliest time at which the next request may have arrived, if it may have waited unread behind a
-	// request in flight or in the accept queue; nil: it did not wait. Written by the accepting goroutine before the first
-	// read, then by the reader; read by the handler.
-	queuedSince atomic.Pointer[time.Time]
 	// requestCount is how often net/http has reported the connection active: for each head that was read, and for most heads
 	// that ended incomplete or were malformed. Written by the state hook, read for the log.
 	requestCount atomic.Int64
@@ -65,8 +57,20 @@
 	closeUndetected     chan struct{}
 	closeUndetectedOnce sync.Once
 
-	// foundEmpty is whether net/http's last background read found nothing to read. Only the reader uses it.
-	foundEmpty bool
+	// What follows, until idleSince, belongs to the reader, and to the state hook between two reads.
+
+	// scanner has taken the bytes that net/http was given.
+	scanner requestScanner
+	// readAhead are bytes of further requests that have been read and not given to net/http, and readAheadArrival is when
+	// they arrived.
+	readAhead        []byte
+	readAheadArrival arrival
+	// awaitsResponse is whether net/http was given all of a request that has no response yet. It reads in the background then.
+	awaitsResponse bool
+	// arrivedAt is when the last byte of the request that net/http was given had arrived at this machine, at the earliest.
+	arrivedAt time.Time
+	// emptyAt is when nothing was last known to be unread; zero: unknown.
+	emptyAt time.Time
 
 	// idleSince is when the connection was accepted, last became idle, or could not be evicted since a request was arriving.
 	// Guarded by connTable.mutex.
@@ -79,6 +83,12 @@
 	overLimit bool
 }
 
+// arrival is when bytes that were read in one step had arrived at this machine.
+type arrival struct {
+	last     time.Time // when the last of them had
+	earliest time.Time // when the first of them had, at the earliest
+}
+
 // newClientConn wraps an accepted connection, from which nothing has been read.
 func newClientConn(conn net.Conn) *clientConn {
 	now := time.Now()
@@ -89,12 +99,8 @@
 	return c
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It gives bytes of one request at a time.
 func (c *clientConn) Read(buffer []byte) (int, error) {
-	// The connection counts as idle only from the first read after a response, and not from the response on: until net/http
-	// reads again, a complete request may wait in its buffer, and a close would leave it without a response. A background
-	// read begins before that request is claimed, however: see connState.
-	c.state.CompareAndSwap(stateResponded, stateIdle)
 	n, err := c.read(buffer)
 	if err != nil {
 		c.noteCloseReason(c.readFailureReason(err))
@@ -103,37 +109,132 @@
 }
 
 func (c *clientConn) read(buffer []byte) (int, error) {
+	if len(c.readAhead) > 0 {
+		return c.takeReadAhead(buffer)
+	}
+	n, waited, err := c.readUnread(buffer)
+	if n == 0 {
+		return 0, err
+	}
+	if c.isBackgroundRead(buffer) {
+		c.markCloseUndetected()
+		c.readFurther()
+	}
+	c.readAheadArrival = c.arrivalOf(waited)
+	taken := c.give(buffer[:n], c.readAheadArrival, true)
+	if taken < n {
+		c.readAhead = bytes.Clone(buffer[taken:n])
+	}
+	return taken, err
+}
+
+// takeReadAhead gives net/http bytes that were read before.
+func (c *clientConn) takeReadAhead(buffer []byte) (int, error) {
+	if c.state.Load() == stateClosed {
+		return 0, net.ErrClosed
+	}
+	if c.isBackgroundRead(buffer) {
+		c.markCloseUndetected()
+	}
+	n := copy(buffer, c.readAhead)
+	taken := c.give(buffer[:n], c.readAheadArrival, n == len(c.readAhead))
+	c.readAhead = c.readAhead[taken:]
+	if len(c.readAhead) == 0 {
+		c.readAhead = nil // frees the buffer
+	}
+	return taken, nil
+}
+
+// give passes bytes on to net/http, up to the end of the current request, and returns how many that are. areLast is whether
+// they include the last of those that arrived.
+func (c *clientConn) give(data []byte, arrived arrival, areLast bool) (taken int) {
+	taken, complete := c.scanner.scan(data)
+	if !complete {
+		return taken
+	}
+	c.arrivedAt = arrived.earliest
+	if areLast && taken == len(data) {
+		c.arrivedAt = arrived.last
+	}
+	c.awaitsResponse = true
+	c.state.CompareAndSwap(stateReceiving, stateReceived)
+	return taken
+}
+
+// isBackgroundRead reports whether the next read is one by which net/http detects that the client closes: it was given the
+// whole request, and reads a single byte.
+func (c *clientConn) isBackgroundRead(buffer []byte) bool {
+	return c.awaitsResponse && len(buffer) == 1
+}
+
+// markCloseUndetected records that a background read got a byte. With it net/http stops its background reads, and the handler
+// has to detect a close by itself.
+func (c *clientConn) markCloseUndetected() {
+	if c.closeUndetected != nil {
+		c.closeUndetectedOnce.Do(func() { close(c.closeUndetected) })
+	}
+}
+
+// readFurther reads ahead what is there of the next request, whose first byte a background read got.
+//
+// Prevents a request that waits behind another from counting as received later than it arrived, because the arrival of the
+// bytes is known only until others follow them.
+func (c *clientConn) readFurther() {
+	if c.rawConn == nil {
+		return
+	}
+	buffer := make([]byte, readAheadSize)
+	n := 0
+	var err error
+	controlError := c.rawConn.Control(func(fd uintptr) { n, err = c.readAvailable(int(fd), buffer) })
+	if controlError == nil && err == nil && n > 0 { // otherwise the next read finds the same
+		c.readAhead = buffer[:n]
+	}
+}
+
+// readUnread reads bytes that nobody has read yet, and waits for them if there are none. It reports whether it had to wait.
+func (c *clientConn) readUnread(buffer []byte) (n int, waited bool, err error) {
 	if c.rawConn != nil {
 		return c.readSocket(buffer)
 	}
-	n, err := c.Conn.Read(buffer)
+	n, err = c.Conn.Read(buffer)
 	c.noteBytesRead(n)
-	return n, err
+	return n, true, err
 }
 
-// readSocket waits for bytes and reads them, and records since when a request may have waited behind one in flight.
-func (c *clientConn) readSocket(buffer []byte) (n int, err error) {
-	lastReadBefore := c.lastReadAt.Load()
-	waited := false
+// readSocket waits for bytes and reads them, and reports whether it had to wait.
+func (c *clientConn) readSocket(buffer []byte) (n int, waited bool, err error) {
 	waitError := c.rawConn.Read(func(fd uintptr) (done bool) {
 		n, err = c.readAvailable(int(fd), buffer)
 		nothingAvailable := errors.Is(err, syscall.EAGAIN)
-		waited = waited || nothingAvailable
+		if nothingAvailable {
+			waited = true
+			c.emptyAt = time.Now()
+		}
 		return !nothingAvailable
 	})
 	switch {
-	case errors.Is(waitError, os.ErrDeadlineExceeded) && !isBackgroundRead(buffer):
+	case errors.Is(waitError, os.ErrDeadlineExceeded) && !c.isBackgroundRead(buffer):
 		n, err = c.readAtDeadline(buffer, waitError)
 	case waitError != nil:
 		n, err = 0, waitError
+		c.emptyAt = time.Now() // net/http has ended its background read, which found nothing until now
 	}
-	if isBackgroundRead(buffer) {
-		c.noteBackgroundRead(lastReadBefore, waited, n == 1)
-	} else if c.foundEmpty || waited {
-		c.queuedSince.Store(nil) // what is read now arrived after the request before it
-		c.foundEmpty = false
+	return n, waited, err
+}
+
+// arrivalOf returns when the bytes had arrived that were just read. waited is whether nothing was there when the read began.
+//
+// Prevents a request that waited behind another, or in the accept queue, from counting as received when it was read: its
+// client's timeout was running.
+func (c *clientConn) arrivalOf(waited bool) arrival {
+	now := time.Now()
+	arrived := arrival{last: now, earliest: now}
+	if !waited && !c.emptyAt.IsZero() {
+		arrived = arrival{last: c.emptyAt, earliest: c.emptyAt}
 	}
-	return n, err
+	c.emptyAt = now
+	return arrived
 }
 
 // readAtDeadline reads what has arrived by the time at which a read is to end, or closes an idle connection on which
@@ -162,20 +263,6 @@
 	return n, err
 }
 
-// noteBackgroundRead records what a background read found: whether it had to wait, and whether it got the first byte of a
-// further request. If it did not have to wait, that byte may have arrived with the request in flight, at inFlightSince.
-func (c *clientConn) noteBackgroundRead(inFlightSince *time.Time, waited, gotByte bool) {
-	c.foundEmpty = waited && !gotByte
-	if !gotByte || c.queuedSince.Load() != nil {
-		return
-	}
-	if waited {
-		c.queuedSince.Store(c.lastReadAt.Load())
-		return
-	}
-	c.queuedSince.Store(inFlightSince)
-}
-
 // readAvailable reads without waiting, and returns syscall.EAGAIN if there is nothing to read.
 //
 // Prevents a close as idle over a request that has just been read from the socket, which would get no response, because the
@@ -199,10 +286,6 @@
 		return 0, io.EOF
 	}
 	c.noteBytesRead(n)
-	if n == 1 && isBackgroundRead(buffer) && c.closeUndetected != nil {
-		// With this byte net/http stops its background reads, and the handler has to detect a close by itself.
-		c.closeUndetectedOnce.Do(func() { close(c.closeUndetected) })
-	}
 	return n, nil
 }
 
@@ -216,6 +299,28 @@
 	c.state.CompareAndSwap(stateIdle, stateReceiving)
 }
 
+// noteResponded records that the handler has written the response of the request in flight.
+func (c *clientConn) noteResponded() {
+	c.state.CompareAndSwap(stateInFlight, stateResponded)
+}
+
+// beginNextRequest records that net/http has finished with a request and goes on to the next. Nobody reads meanwhile.
+func (c *clientConn) beginNextRequest() {
+	next := stateIdle
+	if len(c.readAhead) > 0 || !c.scanner.complete {
+		now := time.Now()
+		c.lastReadAt.Store(&now)
+		next = stateReceiving
+	}
+	c.awaitsResponse = false
+	// From the last two if net/http has responded by itself.
+	for _, from := range []connState{stateResponded, stateInFlight, stateReceived, stateReceiving} {
+		if c.state.CompareAndSwap(from, next) {
+			return
+		}
+	}
+}
+
 // Write implements net.Conn.
 func (c *clientConn) Write(buffer []byte) (int, error) {
 	n, err := c.Conn.Write(buffer)
@@ -244,7 +349,7 @@
 	switch observed {
 	case stateMalformed:
 		return markClosed()
-	case stateReceiving:
+	case stateReceiving, stateReceived:
 		return socket.ShutdownIfQuiet(c.Conn, partialRequestResponse, markClosed)
 	default:
 		return socket.ShutdownIfQuiet(c.Conn, "", markClosed)
@@ -269,9 +374,8 @@
 // claimRequest marks the request that has been read as in flight. It aborts the handler if the connection was closed in
 // the meantime.
 func (c *clientConn) claimRequest() {
-	claimed := c.state.CompareAndSwap(stateReceiving, stateInFlight) ||
-		c.state.CompareAndSwap(stateResponded, stateInFlight) || // it was read ahead, with the request before it
-		c.state.CompareAndSwap(stateIdle, stateInFlight) // the same, and the background read has begun
+	claimed := c.state.CompareAndSwap(stateReceived, stateInFlight) ||
+		c.state.CompareAndSwap(stateReceiving, stateInFlight) // it is malformed, and its rest has not been read
 	if !claimed {
 		panic(http.ErrAbortHandler)
 	}
@@ -314,14 +418,13 @@
 	return reasonNone
 }
 
-// earliestArrival returns when the client's timeout starts to run: when the last byte of the request so far was read, which
-// may be well before a busy process runs its handler. For a request that may have waited unread, it is the earliest time at
-// which it may have arrived.
-func (c *clientConn) earliestArrival() time.Time {
-	if queuedSince := c.queuedSince.Load(); queuedSince != nil {
-		return *queuedSince
+// requestArrival returns when the client's timeout starts to run: when the last byte of the request that net/http was given
+// had arrived, at the earliest. It is for the goroutine that serves the connection.
+func (c *clientConn) requestArrival() time.Time {
+	if c.arrivedAt.IsZero() {
+		return time.Now()
 	}
-	return c.lastReadTime()
+	return c.arrivedAt
 }
 
 // lastReadTime returns when bytes were last read, and the present time if none were.
@@ -344,5 +447,7 @@
 	if conn, ok := ctx.Value(connContextKey{}).(*clientConn); ok {
 		return conn
 	}
-	return &clientConn{}
+	conn := &clientConn{}
+	conn.state.Store(stateReceived)
+	return conn
 }
--- a/internal/clienthttp/connstate.go
+++ b/internal/clienthttp/connstate.go
@@ -7,35 +7,34 @@
 //
 //	from       to         made by     when
 //	idle       receiving  reader      bytes of a request have been read
-//	receiving  inFlight   handler     it claims the request
-//	responded  inFlight   handler     it claims a request that net/http had read ahead, and no read has begun since
-//	idle       inFlight   handler     the same, after net/http's background read has begun: see below
-//	inFlight   responded  state hook  net/http has written the response
-//	receiving  responded  state hook  net/http has responded by itself, without the handler
-//	responded  idle       reader      a read begins after a response
+//	receiving  received   reader      net/http has been given all of the request
+//	received   inFlight   handler     it claims the request
+//	receiving  inFlight   handler     the same, for a malformed request of which not all has been read
+//	inFlight   responded  handler     it has written the response
 //	inFlight   malformed  handler     the request is malformed; what is left of it is read and discarded
+//	responded  idle       state hook  net/http has finished the response, and nothing of a further request has been read
+//	responded  receiving  state hook  the same, and bytes of a further request have been read ahead
 //	idle       closed     table       eviction, keep-alive timeout or shutdown, if nothing is unread
-//	receiving  closed     table       the same, or a pause within a request, if nothing is unread
+//	receiving  closed     table       the same, or a request that takes too long, if nothing is unread
+//	received   closed     table       a request whose handler has not claimed it for long, if nothing is unread
 //	malformed  closed     table       eviction or shutdown, whatever is unread
 //	idle       closed     reader      the deadline of a read is over, and nothing is unread
 //
-// The reader is the goroutine that reads from the connection, the state hook is connTable.onConnState. The one exception to
-// the compare-and-swaps is a new connection far over the limit: it is stored as closed before anything is read from it.
-//
-// Known fault, see docs/open.md: net/http starts its background read before the handler claims a request. If it had read
-// that request ahead, the background read turns responded into idle. Until the handler claims the request, the connection
-// may then be closed as idle, and the request gets no response. The same holds for part of a request that was read ahead,
-// while net/http waits for the rest.
+// The reader is the goroutine that reads from the connection, the state hook is connTable.onConnState. If net/http responds
+// by itself, without the handler, the hook leads from the state of then to the next request. The one exception to the
+// compare-and-swaps is a new connection far over the limit: it is stored as closed before anything is read from it.
 type connState int32
 
 const (
-	// stateIdle: net/http waits for a request, and no byte of one has been read, but for what was read ahead: see connState.
+	// stateIdle: net/http waits for a request, and no byte of one has been read.
 	stateIdle connState = iota
-	// stateReceiving: part of a request has been read, or all of it and the handler has not claimed it yet.
+	// stateReceiving: part of a request has been read.
 	stateReceiving
+	// stateReceived: net/http has been given all of a request, and the handler has not claimed it yet.
+	stateReceived
 	// stateInFlight: the handler has a request that has no response yet.
 	stateInFlight
-	// stateResponded: the request has its response, and net/http may hold bytes of the next one that it read ahead.
+	// stateResponded: the handler has written the response, and net/http has not finished with the request.
 	stateResponded
 	// stateMalformed: the request was malformed and has its response; what is left of it is discarded, and none follows.
 	stateMalformed
@@ -46,6 +45,7 @@
 var connStateNames = [...]string{
 	stateIdle:      "IDLE",
 	stateReceiving: "RECEIVING",
+	stateReceived:  "RECEIVED",
 	stateInFlight:  "IN_FLIGHT",
 	stateResponded: "RESPONDED",
 	stateMalformed: "MALFORMED",
--- a/internal/clienthttp/conntable.go
+++ b/internal/clienthttp/conntable.go
@@ -64,16 +64,17 @@
 	}
 }
 
-// closeTimedOut closes the connections that have been idle for keepAlive, and those that received part of a request and
-// nothing more for requestPause. net/http by itself would give the first four bytes of a further request as long as its
-// timeout for idle connections. During shutdown no idle connection is closed here: clients cannot open others.
+// closeTimedOut closes the connections that have been idle for keepAlive, and those that received a request, or part of one,
+// that has not reached its handler, and nothing more for requestPause. net/http by itself would give the first four bytes of
+// a further request as long as its timeout for idle connections. During shutdown no idle connection is closed here: clients
+// cannot open others.
 func (t *connTable) closeTimedOut(keepAlive, requestPause time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for c := range t.open {
 		switch state := c.state.Load(); {
-		case state == stateReceiving && time.Since(c.lastReadTime()) >= requestPause:
-			t.closeIfStill(c, stateReceiving, reasonRequestReadTimeout)
+		case (state == stateReceiving || state == stateReceived) && time.Since(c.lastReadTime()) >= requestPause:
+			t.closeIfStill(c, state, reasonRequestReadTimeout)
 		case state == stateIdle && c.hasResponded.Load() && time.Since(c.idleSince) >= keepAlive && !t.shuttingDown:
 			t.closeIfStill(c, stateIdle, reasonKeepAliveTimeout)
 		}
@@ -103,9 +104,7 @@
 	t.mutex.Unlock()
 	c.hasResponded.Store(true)
 	c.openRequestID.Store(nil)
-	if !c.state.CompareAndSwap(stateInFlight, stateResponded) {
-		c.state.CompareAndSwap(stateReceiving, stateResponded) // net/http responded by itself
-	}
+	c.beginNextRequest()
 }
 
 // onClosed removes the connection and logs why it ended.
--- a/internal/clienthttp/handler.go
+++ b/internal/clienthttp/handler.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"dapplegate/internal/dispatcher"
-	"dapplegate/internal/httpmsg"
 )
 
 const (
@@ -32,28 +31,28 @@
 // ServeHTTP implements http.Handler: it reads a request, hands it to the dispatcher and writes the response.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connFromContext(r.Context())
-	// Without a body the request is complete. A byte of a further request, which net/http may read at any time from now on,
-	// would move the time of the last read.
-	receivedAt := conn.earliestArrival()
+	s.handle(w, r, conn)
+	conn.noteResponded()
+}
+
+// handle is ServeHTTP with the client's connection. It panics with http.ErrAbortHandler if there is no response.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, conn *clientConn) {
 	if r.URL.Path == readinessPath || s.options.ReadinessOnly || conn.overLimit {
 		conn.claimRequest()
 		s.respondLocally(w, r)
 		return
 	}
-	call, message, malformed := s.readRequest(r)
+	call, malformed := s.readRequest(r)
 	if malformed != nil {
 		respondMalformed(w, r, conn, malformed)
 		return
 	}
 	conn.openRequestID.Store(&call.ClientRequestID)
 	conn.claimRequest()
-	if len(message.Body) > 0 { // the request is complete only now
-		receivedAt = conn.earliestArrival()
-	}
 	s.logLateRead(conn, call.ClientRequestID)
 	liftReadDeadline(w)
-	call.ReceivedAt = receivedAt
-	call.ClientTimeout = s.shutdown.LimitTimeout(call.ClientTimeout, receivedAt, s.shutdownAt.Load())
+	call.ReceivedAt = conn.requestArrival()
+	call.ClientTimeout = s.shutdown.LimitTimeout(call.ClientTimeout, call.ReceivedAt, s.shutdownAt.Load())
 	call.ClientGone = conn.peerClosed
 	s.dispatch(w, r, conn, call)
 }
@@ -84,17 +83,17 @@
 }
 
 // readRequest reads the head and the body of a request.
-func (s *Server) readRequest(r *http.Request) (*dispatcher.Call, *httpmsg.Request, *requestError) {
+func (s *Server) readRequest(r *http.Request) (*dispatcher.Call, *requestError) {
 	call, message, err := s.parseHead(r)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	message.Body, err = readBody(r)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	call.Payload = message
-	return call, message, nil
+	return call, nil
 }
 
 // liftReadDeadline lifts the deadline for the request to arrive, which must not end the connection while the request is in
--- a/internal/clienthttp/server.go
+++ b/internal/clienthttp/server.go
@@ -8,7 +8,6 @@
 //   - a response that announces the close, as that to a malformed request does, or that could not be written ends the
 //     connection whatever follows its request;
 //   - an incomplete request that is too slow ends its connection (see the timeouts in server.go);
-//   - a connection counts as idle while net/http holds a request, or part of one, that it read ahead: see connState;
 //   - bytes may arrive between the two system calls of the check and the close: the client gets a reset;
 //   - the deadline of a shutdown: see Server.Shutdown and stopAccepting.
 //
