--- a/internal/clienthttp/accept.go
+++ b/internal/clienthttp/accept.go
@@ -15,10 +15,8 @@
 	// Connections that the kernel has accepted wait meanwhile.
 	minAcceptBackoff = time.Millisecond
 	maxAcceptBackoff = 20 * time.Millisecond
-	// acceptWaitThreshold is how long accept must have taken for the accept queue to count as empty when it was called. If
-	// the process is held up for that long during accept, the queue counts as empty too, and requests that waited in it
-	// count as received when they are read.
-	acceptWaitThreshold = time.Millisecond
+	// acceptLogInterval is the least time between two log lines about a failed accept.
+	acceptLogInterval = time.Second
 )
 
 // transientAcceptErrors are the errors of accept, as accept(2) documents them, that pass by themselves: errors of the
@@ -42,9 +40,8 @@
 // which ends the server on each error that the net package does not call temporary, gets to see permanent errors alone.
 type listener struct {
 	net.Listener
-	table *connTable
-	// acceptQueuedSince is since when connections may have waited in the accept queue because accept failed; zero: none has.
-	acceptQueuedSince time.Time
+	table           *connTable
+	failureLoggedAt time.Time // zero: none was logged
 }
 
 // Accept implements net.Listener. Its error is permanent, and ends the server.
@@ -54,31 +51,24 @@
 		calledAt := time.Now()
 		conn, err := l.Listener.Accept()
 		if err == nil {
-			return l.addConn(conn, time.Since(calledAt)), nil
+			acceptTook := time.Since(calledAt)
+			c := l.table.add(conn)
+			c.acceptTook = acceptTook
+			return c, nil
 		}
 		if !isTransientAcceptError(err) {
 			return nil, err
 		}
-		if l.acceptQueuedSince.IsZero() { // logged once until the accept queue is empty again
-			l.acceptQueuedSince = calledAt
-			l.table.log.Warn("accept failed", slog.String("reason", "ACCEPT_FAILED"), slog.Any("error", err))
-		}
+		l.logFailure(err)
 		time.Sleep(backoff + rand.N(backoff))
 		backoff = min(2*backoff, maxAcceptBackoff)
 	}
 }
 
-// addConn adds a connection for which accept took acceptDuration.
-//
-// While accept failed, connections waited in the accept queue, with requests on them whose clients' timeouts were running.
-// Their requests count as received when accept began to fail, or a request would get its response after its client had
-// given up. The accept queue is known to be empty once accept has had to wait.
-func (l *listener) addConn(conn net.Conn, acceptDuration time.Duration) net.Conn {
-	c := l.table.add(conn)
-	c.acceptTook = acceptDuration
-	if acceptDuration > acceptWaitThreshold {
-		l.acceptQueuedSince = time.Time{}
+func (l *listener) logFailure(err error) {
+	if !l.failureLoggedAt.IsZero() && time.Since(l.failureLoggedAt) < acceptLogInterval {
+		return
 	}
-	c.emptyAt = l.acceptQueuedSince
-	return c
+	l.failureLoggedAt = time.Now()
+	l.table.log.Warn("accept failed", slog.String("reason", "ACCEPT_FAILED"), slog.Any("error", err))
 }
--- a/internal/clienthttp/accept_test.go
+++ b/internal/clienthttp/accept_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -100,3 +101,74 @@
 	}
 	call.Respond(servedX)
 }
+
+// heldUpListener holds each accept up before it begins, as a busy machine may.
+type heldUpListener struct {
+	net.Listener
+	heldUpFor time.Duration
+}
+
+func (l heldUpListener) Accept() (net.Conn, error) {
+	time.Sleep(l.heldUpFor)
+	return l.Listener.Accept()
+}
+
+// TestRequestInAcceptQueueCountsAsReceivedWhileAcceptIsHeldUp has accept fail as above, and then holds it up for 2 ms for each
+// connection. Failure: an accept that took a while was held to have found the queue empty, and the requests that were still
+// in it counted as received when they were read.
+func TestRequestInAcceptQueueCountsAsReceivedWhileAcceptIsHeldUp(t *testing.T) {
+	const failsFor = 300 * time.Millisecond
+	l := listen(t)
+	d := newFakeDispatcher()
+	failing := &failingListener{Listener: l, emfileTill: time.Now().Add(failsFor)}
+	serve(t, newTestServer(d, maxTestConns), heldUpListener{failing, 2 * time.Millisecond})
+	sentAt := map[string]time.Time{}
+	for _, id := range []string{"id1", "id2", "id3"} {
+		conn := dial(t, l.Addr().String())
+		sentAt[id] = time.Now()
+		send(conn, strings.Replace(validGet, "id1", id, 1))
+	}
+	for range sentAt {
+		call := <-d.calls
+		if late := call.ReceivedAt.Sub(sentAt[call.ClientRequestID]); late > failsFor/10 {
+			t.Errorf("%s counts as received %v after it was sent", call.ClientRequestID, late)
+		}
+		call.Respond(servedX)
+	}
+}
+
+// failingAfterWait waits in its first accept, and then fails.
+type failingAfterWait struct {
+	net.Listener
+	wait time.Duration
+	once sync.Once
+}
+
+func (l *failingAfterWait) Accept() (conn net.Conn, err error) {
+	l.once.Do(func() {
+		time.Sleep(l.wait)
+		err = &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.ECONNABORTED)}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
+// TestRequestAfterFailedAcceptCountsAsReceivedWhenSent has accept wait for long, as it does without clients, and then fail. A
+// request that arrives just then must not count as received before it was sent: it would be rejected for lack of time.
+func TestRequestAfterFailedAcceptCountsAsReceivedWhenSent(t *testing.T) {
+	const waits = 300 * time.Millisecond
+	l := listen(t)
+	d := newFakeDispatcher()
+	serve(t, newTestServer(d, maxTestConns), &failingAfterWait{Listener: l, wait: waits})
+	time.Sleep(waits / 2)
+	conn := dial(t, l.Addr().String())
+	sentAt := time.Now()
+	send(conn, validGet)
+	call := <-d.calls
+	if call.ReceivedAt.Before(sentAt) {
+		t.Errorf("the request counts as received %v before it was sent", sentAt.Sub(call.ReceivedAt))
+	}
+	call.Respond(servedX)
+}
--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -69,8 +69,8 @@
 	awaitsResponse bool
 	// arrivedAt is when the last byte of the request that net/http was given had arrived at this machine, at the earliest.
 	arrivedAt time.Time
-	// emptyAt is when nothing was last known to be unread; zero: unknown.
-	emptyAt time.Time
+	// unreadSince is when bytes that are unread now can have arrived at the earliest; zero: unknown.
+	unreadSince time.Time
 
 	// idleSince is when the connection was accepted, last became idle, or could not be evicted since a request was arriving.
 	// Guarded by connTable.mutex.
@@ -116,11 +116,12 @@
 	if n == 0 {
 		return 0, err
 	}
+	filled := n == len(buffer)
 	if c.isBackgroundRead(buffer) {
 		c.markCloseUndetected()
-		c.readFurther()
+		filled = c.readFurther()
 	}
-	c.readAheadArrival = c.arrivalOf(waited)
+	c.readAheadArrival = c.arrivalOf(waited, filled)
 	taken := c.give(buffer[:n], c.readAheadArrival, true)
 	if taken < n {
 		c.readAhead = bytes.Clone(buffer[taken:n])
@@ -175,21 +176,24 @@
 	}
 }
 
-// readFurther reads ahead what is there of the next request, whose first byte a background read got.
+// readFurther reads ahead what is there of the next request, whose first byte a background read got. filled is whether more
+// may be unread.
 //
 // Prevents a request that waits behind another from counting as received later than it arrived, because the arrival of the
 // bytes is known only until others follow them.
-func (c *clientConn) readFurther() {
+func (c *clientConn) readFurther() (filled bool) {
 	if c.rawConn == nil {
-		return
+		return false
 	}
 	buffer := make([]byte, readAheadSize)
 	n := 0
 	var err error
 	controlError := c.rawConn.Control(func(fd uintptr) { n, err = c.readAvailable(int(fd), buffer) })
-	if controlError == nil && err == nil && n > 0 { // otherwise the next read finds the same
-		c.readAhead = buffer[:n]
+	if controlError != nil || err != nil || n == 0 {
+		return false // the next read finds the same
 	}
+	c.readAhead = buffer[:n]
+	return n == len(buffer)
 }
 
 // readUnread reads bytes that nobody has read yet, and waits for them if there are none. It reports whether it had to wait.
@@ -209,7 +213,7 @@
 		nothingAvailable := errors.Is(err, syscall.EAGAIN)
 		if nothingAvailable {
 			waited = true
-			c.emptyAt = time.Now()
+			c.unreadSince = time.Now()
 		}
 		return !nothingAvailable
 	})
@@ -218,25 +222,57 @@
 		n, err = c.readAtDeadline(buffer, waitError)
 	case waitError != nil:
 		n, err = 0, waitError
-		c.emptyAt = time.Now() // net/http has ended its background read, which found nothing until now
+		if waited { // net/http has ended its background read, which found nothing until now
+			c.unreadSince = time.Now()
+		}
 	}
 	return n, waited, err
 }
 
-// arrivalOf returns when the bytes had arrived that were just read. waited is whether nothing was there when the read began.
+// arrivalOf returns when the bytes had arrived that were just read. waited is whether nothing was there when the read began,
+// and filled whether the buffer was, so that more may be unread.
 //
-// Prevents a request that waited behind another, or in the accept queue, from counting as received when it was read: its
-// client's timeout was running.
-func (c *clientConn) arrivalOf(waited bool) arrival {
+// Prevents a request that waited in the accept queue, behind another request or for the process from counting as received when
+// it was read, while its client's timeout was running: the kernel tells how long ago the last bytes arrived. Where it does
+// not, or they came just now, a request that may have waited behind another counts as received when it could have
+// arrived at the earliest.
+func (c *clientConn) arrivalOf(waited, filled bool) arrival {
 	now := time.Now()
+	mayHaveWaited := !waited && !c.unreadSince.IsZero()
 	arrived := arrival{last: now, earliest: now}
-	if !waited && !c.emptyAt.IsZero() {
-		arrived = arrival{last: c.emptyAt, earliest: c.emptyAt}
+	if mayHaveWaited {
+		arrived.last = c.unreadSince
+	}
+	if unreadFor := c.unreadFor(); unreadFor > 0 {
+		arrived.last = latest(c.unreadSince, now.Add(-unreadFor))
+	}
+	arrived.earliest = arrived.last
+	if mayHaveWaited {
+		arrived.earliest = c.unreadSince
+	}
+	c.unreadSince = now
+	if filled {
+		c.unreadSince = arrived.last
 	}
-	c.emptyAt = now
 	return arrived
 }
 
+// unreadFor returns how long ago the last bytes arrived at this machine; 0: just now, or not known.
+func (c *clientConn) unreadFor() time.Duration {
+	if c.rawConn == nil {
+		return 0
+	}
+	elapsed, _ := socket.SinceLastData(c.rawConn)
+	return elapsed
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // readAtDeadline reads what has arrived by the time at which a read is to end, or closes an idle connection on which
 // nothing has.
 //
--- a/internal/clienthttp/conn_test.go
+++ b/internal/clienthttp/conn_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -47,6 +50,93 @@
 	}
 }
 
+// beforeRead runs a function before bytes are read that have arrived.
+type beforeRead struct {
+	syscall.RawConn
+	run func()
+}
+
+func (r beforeRead) Read(f func(uintptr) bool) error {
+	r.run()
+	return r.RawConn.Read(f)
+}
+
+// TestRequestCountsAsReceivedWhenItArrived holds the process up when a request has arrived and nothing has been read, on a new
+// connection and on one that has been idle for a while.
+//
+// Rule: the request counts as received when it arrived, however many reads it takes. Failure: it counts as received when the
+// process goes on; its target is told more time than the client has left, and its response may come after its client's
+// timeout. The log has an age of 10 µs.
+func TestRequestCountsAsReceivedWhenItArrived(t *testing.T) {
+	const heldUpFor = 150 * time.Millisecond
+	const idleFor = 100 * time.Millisecond
+	const bodySize = 10_000
+	longPut := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", validPutHead, bodySize, strings.Repeat("x", bodySize))
+	for name, request := range map[string]string{"one read": validGet, "several reads": longPut} {
+		t.Run(name, func(t *testing.T) {
+			client, accepted := connPair(t)
+			conn := newClientConn(accepted)
+			rawConn := conn.rawConn
+			for _, state := range []string{"new", "idle"} {
+				conn.rawConn = beforeRead{rawConn, func() {
+					time.Sleep(heldUpFor)
+					conn.rawConn = rawConn
+				}}
+				sentAt := time.Now()
+				send(client, request)
+				for received := 0; received < len(request); {
+					n, err := conn.Read(make([]byte, readAheadSize))
+					if err != nil {
+						t.Fatal(err)
+					}
+					received += n
+				}
+				arrivedAfter := conn.requestArrival().Sub(sentAt)
+				if arrivedAfter < 0 || arrivedAfter > heldUpFor/2 {
+					t.Errorf("%s: counts as received %v after it was sent, with the process held up for %v", state, arrivedAfter, heldUpFor)
+				}
+				conn.state.Store(stateResponded)
+				conn.beginNextRequest()
+				time.Sleep(idleFor)
+			}
+		})
+	}
+}
+
+// TestRequestBehindAbortedReadCountsAsReceivedWhenItArrived has net/http end a background read before it has looked for bytes,
+// as when the response comes at once, while the next request has been there for long. Failure: the aborted read is taken
+// for one that found nothing, and the request counts as received after it.
+func TestRequestBehindAbortedReadCountsAsReceivedWhenItArrived(t *testing.T) {
+	const waits = 100 * time.Millisecond
+	client, accepted := connPair(t)
+	conn := newClientConn(accepted)
+	send(client, validGet)
+	if _, err := io.ReadFull(conn, make([]byte, len(validGet))); err != nil {
+		t.Fatal(err)
+	}
+	sentAt := time.Now()
+	send(client, validPut)
+	awaitUnread(t, accepted)
+	time.Sleep(waits)
+	if err := conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("the background read ended with %v", err)
+	}
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	conn.state.Store(stateResponded)
+	conn.beginNextRequest()
+	if _, err := io.ReadFull(conn, make([]byte, len(validPut))); err != nil {
+		t.Fatal(err)
+	}
+	if late := conn.requestArrival().Sub(sentAt); late > waits/2 {
+		t.Errorf("the request counts as received %v after it was sent", late)
+	}
+}
+
 // afterRead runs a function once bytes have been read, before the reader gets to see them.
 type afterRead struct {
 	syscall.RawConn
--- a/internal/clienthttp/latelog.go
+++ b/internal/clienthttp/latelog.go
@@ -1,28 +1,22 @@
 package clienthttp
 
 import (
-	"context"
 	"log/slog"
 	"time"
-
-	"dapplegate/internal/socket"
 )
 
-// lateReadThreshold is how long the bytes of a request must have waited at this machine for the wait to be logged.
+// lateReadThreshold is how long a request must have waited at this machine for the wait to be logged.
 const lateReadThreshold = 50 * time.Millisecond
 
-// logLateRead logs, at debug level, that the bytes of a request waited at this machine before they were read. Beside
-// "step was late" of the dispatcher it tells what they waited for:
+// logLateRead logs, at debug level, that a request waited at this machine before it reached its handler. Beside
+// "step was late" of the dispatcher it tells what it waited for:
 //
 //   - unread_for longer than accepted_ago: in the accept queue, where accept_took says how long the accept that took
 //     the connection had been waiting;
 //   - otherwise: behind another request of the connection, or for the process, which stood still.
 func (s *Server) logLateRead(conn *clientConn, requestID string) {
-	if conn.rawConn == nil || !s.options.Logger.Enabled(context.Background(), slog.LevelDebug) {
-		return
-	}
-	unreadFor, ok := socket.SinceLastData(conn.rawConn)
-	if !ok || unreadFor < lateReadThreshold {
+	unreadFor := time.Since(conn.requestArrival())
+	if unreadFor < lateReadThreshold {
 		return
 	}
 	s.options.Logger.Debug("request was read late",
