--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -375,21 +375,29 @@
 	return nil
 }
 
+// unservedResponse ends a connection whose client may find no response otherwise: see closeIfNothingUnread. Nothing of a request
+// on it is forwarded.
+const unservedResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 // closeIfNothingUnread shuts the connection down and marks it closed if it is still in its observed state and nothing is unread on
 // it. The caller holds readMutex, and still has to call Conn.Close.
 //
-// In stateMalformed the connection is marked closed whatever is unread: that is the rest of the malformed request, or follows
-// it after a response that announces the close, and gets no response in either case.
+// What the client gets depends on what it may expect, since its next request may cross the close unseen:
+//
+//   - after a response, nothing: a client sends a request that finds its connection closed once more, on a new one;
+//   - on a new connection, unservedResponse: its first request counts as accepted, and is not sent again by itself;
+//   - after part of a request, or one that no handler has claimed, unservedResponse, for the same reason;
+//   - after a malformed request, nothing: it has its response, which announces the close. The connection is marked closed
+//     whatever is unread then.
 func (c *clientConn) closeIfNothingUnread(observed connState) (closed bool) {
 	markClosed := func() bool { return c.state.CompareAndSwap(observed, stateClosed) }
-	switch observed {
-	case stateMalformed:
+	if observed == stateMalformed {
 		return markClosed()
-	case stateReceiving, stateReceived:
-		return socket.ShutdownIfQuiet(c.Conn, partialRequestResponse, markClosed)
-	default:
+	}
+	if observed == stateIdle && c.hasResponded.Load() {
 		return socket.ShutdownIfQuiet(c.Conn, "", markClosed)
 	}
+	return socket.ShutdownIfQuiet(c.Conn, unservedResponse, markClosed)
 }
 
 // peerClosed reports whether the client has closed the connection or its write side, also if bytes from before are unread.
--- a/internal/clienthttp/conntable.go
+++ b/internal/clienthttp/conntable.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"dapplegate/internal/socket"
 )
 
 // maxOverLimit is how many connections over the limit are accepted, each to have one request rejected.
@@ -53,13 +55,14 @@
 	return c
 }
 
-// markOverLimit has the connection's request rejected, and closes the connection at once, whatever is unread on it, if too
-// many wait for that. The table is locked, and nothing has been read from the connection yet.
+// markOverLimit has the connection's request rejected. If too many wait for that, it sends unservedResponse and closes the
+// connection at once, whatever is unread on it. The table is locked, and nothing has been read from the connection yet.
 func (t *connTable) markOverLimit(c *clientConn) {
 	c.overLimit = true
 	c.noteCloseReason(reasonConnectionLimit)
 	if len(t.open) > t.maxOpen+maxOverLimit {
 		c.state.Store(stateClosed)
+		socket.TrySend(c.Conn, unservedResponse)
 		_ = c.Close()
 	}
 }
--- a/internal/clienthttp/eviction.go
+++ b/internal/clienthttp/eviction.go
@@ -16,10 +16,6 @@
 	maxEvictionAttempts = 8
 )
 
-// partialRequestResponse is sent to a client whose connection is closed after part of a request has been read. All of that request
-// may have been read by then: this is its response, and nothing of it was forwarded.
-const partialRequestResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-
 // evictionRank orders connections by how dispensable they are; the highest is evicted first.
 type evictionRank int
 
@@ -106,8 +102,7 @@
 
 // closeIfStill closes a connection - to make room, for a timeout or at shutdown - if it is still in its observed state, which
 // is idle, receiving or malformed, and reports whether it did. A connection with unread bytes is not closed, since a request
-// is arriving on it, unless it is malformed: see closeIfNothingUnread. One with part of a request gets
-// partialRequestResponse. The table is locked.
+// is arriving on it, unless it is malformed. See closeIfNothingUnread for what its client gets. The table is locked.
 func (t *connTable) closeIfStill(c *clientConn, observed connState, reason closeReason) bool {
 	c.readMutex.Lock()
 	closed := c.closeIfNothingUnread(observed)
--- a/internal/clienthttp/server.go
+++ b/internal/clienthttp/server.go
@@ -4,7 +4,7 @@
 // A connection is closed only after a check, in one step with the close, that nothing is unread on it, so that no request is
 // closed over without a response. The exceptions:
 //
-//   - a connection that is far over the limit is closed at once (connTable.markOverLimit);
+//   - a connection that is far over the limit is closed at once, with a response (connTable.markOverLimit);
 //   - a response that announces the close, as that to a malformed request does, or that could not be written ends the
 //     connection whatever follows its request;
 //   - an incomplete request that is too slow ends its connection (see the timeouts in server.go);
@@ -32,7 +32,7 @@
 // 3 s; the longest wait until then is requestPauseTimeout + timeoutCheckInterval = 2.65 s.
 //
 //	waits for                    limit                ended by    client sees    logged reason
-//	first byte of the first      requestReadTimeout   clientConn  close          NO_FIRST_REQUEST
+//	first byte of the first      requestReadTimeout   clientConn  503 and close  NO_FIRST_REQUEST
 //	  request
 //	rest of a head               requestReadTimeout   net/http    close          REQUEST_READ_TIMEOUT
 //	rest of a body               requestReadTimeout   handler     408 and close  REQUEST_READ_TIMEOUT
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -72,16 +72,35 @@
 		if errno != syscall.EAGAIN || !confirm() {
 			return
 		}
-		if len(message) > 0 {
-			_, _, _ = syscall.RawSyscall6(syscall.SYS_SENDTO, fd,
-				uintptr(unsafe.Pointer(&message[0])), uintptr(len(message)), syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, 0, 0)
-		}
+		sendNow(fd, message)
 		_, _, _ = syscall.RawSyscall(syscall.SYS_SHUTDOWN, fd, syscall.SHUT_RDWR, 0)
 		shutDown = true
 	})
 	return err == nil && shutDown
 }
 
+// TrySend sends a message as far as the send buffer has space at once. It never waits.
+func TrySend(conn net.Conn, message string) {
+	syscallConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	rawConn, err := syscallConn.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = rawConn.Control(func(fd uintptr) { sendNow(fd, []byte(message)) }) // fails on a closed connection
+}
+
+// sendNow is TrySend for a file descriptor, without a call into the Go scheduler.
+func sendNow(fd uintptr, message []byte) {
+	if len(message) == 0 {
+		return
+	}
+	_, _, _ = syscall.RawSyscall6(syscall.SYS_SENDTO, fd,
+		uintptr(unsafe.Pointer(&message[0])), uintptr(len(message)), syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, 0, 0)
+}
+
 // IsPeerClosed reports whether the other side has closed or reset a connection, also if bytes from before are still unread. A
 // close of its write side alone (half-close) counts as well: the two look the same from here. So does a connection that this
 // side has closed.
