--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -40,6 +40,9 @@
 	// lastReadAt is when bytes were last read, or when net/http went on to bytes that had been read ahead; nil: none were.
 	// Written by the reader and the state hook, read by the table.
 	lastReadAt atomic.Pointer[time.Time]
+	// receivingSince is when the current request began to be read, or when net/http could begin with it; nil: none has been.
+	// Written by the reader and the state hook, read by the table.
+	receivingSince atomic.Pointer[time.Time]
 	// requestCount is how often net/http has reported the connection active: for each head that was read, and for most heads
 	// that ended incomplete or were malformed. Written by the state hook, read for the log.
 	requestCount atomic.Int64
@@ -332,7 +335,10 @@
 	}
 	now := time.Now()
 	c.lastReadAt.Store(&now)
-	c.state.CompareAndSwap(stateIdle, stateReceiving)
+	if c.state.Load() == stateIdle {
+		c.receivingSince.Store(&now)
+		c.state.CompareAndSwap(stateIdle, stateReceiving)
+	}
 }
 
 // noteResponded records that the handler has written the response of the request in flight.
@@ -346,6 +352,7 @@
 	if len(c.readAhead) > 0 || !c.scanner.complete {
 		now := time.Now()
 		c.lastReadAt.Store(&now)
+		c.receivingSince.Store(&now)
 		next = stateReceiving
 	}
 	c.awaitsResponse = false
@@ -479,6 +486,14 @@
 	return time.Now()
 }
 
+// receivingFor returns how long ago the current request began to be read.
+func (c *clientConn) receivingFor() time.Duration {
+	if receivingSince := c.receivingSince.Load(); receivingSince != nil {
+		return time.Since(*receivingSince)
+	}
+	return 0
+}
+
 // connContextKey is the context key of a request's *clientConn.
 type connContextKey struct{}
 
--- a/internal/clienthttp/connstate.go
+++ b/internal/clienthttp/connstate.go
@@ -86,8 +86,8 @@
 	reasonNoFirstRequest closeReason = "NO_FIRST_REQUEST"
 	// reasonKeepAliveTimeout: no further request arrived within keepAliveTimeout.
 	reasonKeepAliveTimeout closeReason = "KEEP_ALIVE_TIMEOUT"
-	// reasonRequestReadTimeout: a request did not arrive completely within requestReadTimeout, or paused for
-	// requestPauseTimeout.
+	// reasonRequestReadTimeout: a request did not arrive completely within requestReadTimeout, or did not reach its
+	// handler within requestClaimTimeout.
 	reasonRequestReadTimeout closeReason = "REQUEST_READ_TIMEOUT"
 	// reasonShutdown: closed for the graceful shutdown.
 	reasonShutdown closeReason = "SHUTDOWN"
--- a/internal/clienthttp/conntable.go
+++ b/internal/clienthttp/conntable.go
@@ -67,16 +67,15 @@
 	}
 }
 
-// closeTimedOut closes the connections that have been idle for keepAlive, and those that received a request, or part of one,
-// that has not reached its handler, and nothing more for requestPause. net/http by itself would give the first four bytes of
-// a further request as long as its timeout for idle connections. During shutdown no idle connection is closed here: clients
-// cannot open others.
-func (t *connTable) closeTimedOut(keepAlive, requestPause time.Duration) {
+// closeTimedOut closes the connections that have been idle for keepAlive, and those whose request has not reached its handler
+// within claimTimeout of its first byte. net/http by itself would give the first four bytes of a further request as long as
+// its timeout for idle connections. During shutdown no idle connection is closed here: clients cannot open others.
+func (t *connTable) closeTimedOut(keepAlive, claimTimeout time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for c := range t.open {
 		switch state := c.state.Load(); {
-		case (state == stateReceiving || state == stateReceived) && time.Since(c.lastReadTime()) >= requestPause:
+		case (state == stateReceiving || state == stateReceived) && c.receivingFor() >= claimTimeout:
 			t.closeIfStill(c, state, reasonRequestReadTimeout)
 		case state == stateIdle && c.hasResponded.Load() && time.Since(c.idleSince) >= keepAlive && !t.shuttingDown:
 			t.closeIfStill(c, stateIdle, reasonKeepAliveTimeout)
--- a/internal/clienthttp/conntable_test.go
+++ b/internal/clienthttp/conntable_test.go
@@ -65,6 +65,33 @@
 	}
 }
 
+// TestPausesInFirstBytes has a client send the first bytes of a further request one by one, with pauses.
+//
+// Rule: its connection ends within 3 s of the first, with a response. Failure: each byte gives the client the time for a pause
+// anew, and only net/http's timeout for idle connections, 4.8 s here, bounds them together.
+func TestPausesInFirstBytes(t *testing.T) {
+	const endsWithin = 3 * time.Second
+	const pause = 1900 * time.Millisecond
+	addr := startServerWithDelay(t, requestReadTimeout, func(*Server) {})
+	conn := dial(t, addr)
+	roundTrip(t, conn, validGet)
+	begunAt := time.Now()
+	setDeadline(t, conn, begunAt.Add(testTimeout))
+	go func() {
+		for _, part := range []string{"G", "E", "T"} {
+			send(conn, part)
+			time.Sleep(pause)
+		}
+	}()
+	got, err := io.ReadAll(conn)
+	if took := time.Since(begunAt); err != nil || took > endsWithin {
+		t.Errorf("the end came after %v, %v; want it within %v", took, err, endsWithin)
+	}
+	if !strings.HasPrefix(string(got), "HTTP/1.1 503 ") {
+		t.Errorf("got %q, want a rejection", got)
+	}
+}
+
 // TestConnectionEndedLog checks the log line that says why a connection ended, by which operators find requests that got no
 // response: its fields, and the reason that was noted first. A read that fails is not logged as the reason, since it is taken
 // to follow from this side's close.
--- a/internal/clienthttp/server.go
+++ b/internal/clienthttp/server.go
@@ -29,14 +29,14 @@
 const maxHeaderBytes = 16 << 10
 
 // These are the timeouts of a client connection. A client whose request is too slow has to see an error or a close within
-// 3 s; the longest wait until then is requestPauseTimeout + timeoutCheckInterval = 2.65 s.
+// 3 s; the longest wait until then is requestClaimTimeout + timeoutCheckInterval = 2.65 s.
 //
 //	waits for                    limit                ended by    client sees    logged reason
 //	first byte of the first      requestReadTimeout   clientConn  503 and close  NO_FIRST_REQUEST
 //	  request
 //	rest of a head               requestReadTimeout   net/http    close          REQUEST_READ_TIMEOUT
 //	rest of a body               requestReadTimeout   handler     408 and close  REQUEST_READ_TIMEOUT
-//	first four bytes of a        requestPauseTimeout  connTable   503 and close  REQUEST_READ_TIMEOUT
+//	first four bytes of a        requestClaimTimeout  connTable   503 and close  REQUEST_READ_TIMEOUT
 //	  further request
 //	first byte of a further      keepAliveTimeout     connTable   close          KEEP_ALIVE_TIMEOUT
 //	  request
@@ -44,19 +44,18 @@
 //	                                                              its response
 //	client to read the data      writeTimeout         net/http    close          CLIENT_WRITE_FAILED
 //
-// The limits of connTable are checked every timeoutCheckInterval, until the listener is closed. Several pauses within the
-// first four bytes of a further request are together bounded by net/http's idle timeout alone, see New. A request in flight
-// has no limit here: the dispatcher responds within the client's timeout.
+// The limits of connTable are checked every timeoutCheckInterval, until the listener is closed. A request in flight has no
+// limit here: the dispatcher responds within the client's timeout.
 const (
 	// requestReadTimeout is how long a request, head and body, may take to arrive: the first one from the connection's start,
 	// a further one from its first four bytes, for which net/http waits before it starts this limit.
 	requestReadTimeout = 2 * time.Second
-	// requestPauseTimeout is how long a client may pause within a request. It is longer than requestReadTimeout, so that it
-	// ends only what that does not cover.
-	requestPauseTimeout = requestReadTimeout + 400*time.Millisecond
+	// requestClaimTimeout is how long after its first byte a request must have reached its handler complete. It is longer than
+	// requestReadTimeout, so that it ends only what that does not cover.
+	requestClaimTimeout = requestReadTimeout + 400*time.Millisecond
 	// keepAliveTimeout is how long a connection is kept idle after a response, except during shutdown.
 	keepAliveTimeout = 2 * time.Second
-	// timeoutCheckInterval is how often connections are checked for requestPauseTimeout and keepAliveTimeout.
+	// timeoutCheckInterval is how often connections are checked for requestClaimTimeout and keepAliveTimeout.
 	timeoutCheckInterval = keepAliveTimeout / 8
 )
 
@@ -142,7 +141,7 @@
 		case <-ended:
 			return
 		case <-ticker.C:
-			s.conns.closeTimedOut(keepAliveTimeout, requestPauseTimeout)
+			s.conns.closeTimedOut(keepAliveTimeout, requestClaimTimeout)
 		}
 	}
 }
