--- a/internal/clienthttp/server.go
+++ b/internal/clienthttp/server.go
@@ -19,6 +19,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,7 +45,7 @@
 //	                                                              its response
 //	client to read the data      writeTimeout         net/http    close          CLIENT_WRITE_FAILED
 //
-// The limits of connTable are checked every timeoutCheckInterval, until the listener is closed. A request in flight has no
+// The limits of connTable are checked every timeoutCheckInterval, until the server has ended. A request in flight has no
 // limit here: the dispatcher responds within the client's timeout.
 const (
 	// requestReadTimeout is how long a request, head and body, may take to arrive: the first one from the connection's start,
@@ -91,6 +92,8 @@
 	shutdown           dispatcher.ShutdownSchedule
 	shutdownAt         atomic.Pointer[time.Time] // when Shutdown was called; nil: it was not
 	closeAfterResponse atomic.Bool               // set late in Shutdown: each response closes its connection
+	timeoutsEnded      chan struct{}             // closed by endTimeouts, by way of endTimeoutsOnce
+	endTimeoutsOnce    sync.Once
 }
 
 // New returns a server that hands its requests to the dispatcher.
@@ -100,6 +103,8 @@
 		dispatcher: d,
 		conns:      newConnTable(options.MaxConns, options.EvictIdleAbove, options.Logger),
 		shutdown:   dispatcher.NewShutdownSchedule(options.MaxDeadline),
+
+		timeoutsEnded: make(chan struct{}),
 	}
 	// The table closes idle connections. net/http's own timeout is longer than the table's and than the time for which a
 	// shutdown keeps connections, so that it takes effect only if the table has not closed the connection.
@@ -120,28 +125,34 @@
 // listener that ended it.
 func (s *Server) Serve(l net.Listener) error {
 	s.listener.Store(&l)
-	ended := make(chan struct{})
-	defer close(ended)
-	go s.closeTimedOutConns(ended)
+	go s.closeTimedOutConns()
 	err := s.http.Serve(&listener{Listener: l, table: s.conns})
-	if errors.Is(err, http.ErrServerClosed) || s.shutdownAt.Load() != nil {
+	if s.shutdownAt.Load() != nil {
+		return nil // Shutdown serves what is open, and ends the timeouts
+	}
+	s.endTimeouts()
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
-// closeTimedOutConns applies the timeouts of connTable until the channel is closed, which is when the listener is: in a
-// shutdown after the accept grace. From ServeConnsFor on connTable.closeIdle closes idle connections, and from AnswerBy on
-// also those whose request has stalled.
-func (s *Server) closeTimedOutConns(ended <-chan struct{}) {
+// closeTimedOutConns applies the timeouts of connTable until endTimeouts. In a shutdown, connTable.closeIdle closes idle
+// connections from ServeConnsFor on, and from AnswerBy on also those whose request has stalled.
+func (s *Server) closeTimedOutConns() {
 	ticker := time.NewTicker(timeoutCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ended:
+		case <-s.timeoutsEnded:
 			return
 		case <-ticker.C:
 			s.conns.closeTimedOut(keepAliveTimeout, requestClaimTimeout)
 		}
 	}
 }
+
+// endTimeouts ends closeTimedOutConns. It may be called more than once.
+func (s *Server) endTimeouts() {
+	s.endTimeoutsOnce.Do(func() { close(s.timeoutsEnded) })
+}
--- a/internal/clienthttp/shutdown.go
+++ b/internal/clienthttp/shutdown.go
@@ -16,6 +16,7 @@
 // the open connections for a while, and returns once no connection is left. If the context ends before, it closes the
 // remaining connections and returns the context's error.
 func (s *Server) Shutdown(ctx context.Context) error {
+	defer s.endTimeouts()
 	startedAt := time.Now()
 	s.shutdownAt.Store(&startedAt)
 	s.conns.beginShutdown()
--- a/internal/clienthttp/shutdown_test.go
+++ b/internal/clienthttp/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -114,3 +115,26 @@
 		t.Error(err)
 	}
 }
+
+// TestStalledRequestEndsDuringShutdown has a client stop in the first bytes of a further request just before a shutdown.
+//
+// Rule: its connection ends within 3 s of the first byte. Failure: the timeouts of requests are not checked any more once the
+// listener is closed, and the connection ends only when the shutdown closes those that have stalled, 4.5 s here.
+func TestStalledRequestEndsDuringShutdown(t *testing.T) {
+	const endsWithin = 3 * time.Second
+	s, d, addr := startServer(t, maxTestConns)
+	go d.respondToNext(1)
+	_, _, conn := roundTripOnNewConn(t, addr, validGet)
+	begunAt := time.Now()
+	send(conn, "GE")
+	dispatcher.WaitUntil(context.Background(), begunAt.Add(requestClaimTimeout-dispatcher.AcceptGrace-50*time.Millisecond))
+	ended := startShutdown(s)
+	setDeadline(t, conn, begunAt.Add(testTimeout))
+	_, err := io.ReadAll(conn)
+	if took := time.Since(begunAt); err != nil || took > endsWithin {
+		t.Errorf("the end came after %v, %v; want it within %v", took, err, endsWithin)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
