--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -244,6 +244,31 @@
 	}
 }
 
+// TestShutdownDeadlineOutlastsEarlierTimer begins a shutdown with an attempt in flight at a target that hangs, while an earlier
+// timer of the scheduler is set, and steps the dispatcher at its timers alone, as a process without other traffic does.
+//
+// Rule: the attempt is cancelled at the shutdown's deadline. Failure: the earlier timer takes the deadline's along when it comes
+// due, and the attempt is cancelled only at the next event, or never: SIGKILL finds the request without a response.
+func TestShutdownDeadlineOutlastsEarlierTimer(t *testing.T) {
+	h := newHarness(t)
+	call := h.newCall("put", h.now)
+	call.ClientTimeout = time.Minute
+	h.receive(callSubmitted{call})
+	deadline := h.now.Add(time.Second)
+	h.receive(shutdownRequested{deadline})
+	h.setTimer(h.now.Add(500 * time.Millisecond)) // as for a timer of the scheduler
+	for len(h.upstream.cancelled) == 0 {
+		if h.nextTimer.IsZero() || h.nextTimer.After(deadline) {
+			t.Fatalf("the next timer is %v after the deadline, with the attempt still in flight", h.nextTimer.Sub(deadline))
+		}
+		h.now = h.nextTimer
+		h.step(h.now, nil)
+	}
+	if h.now.Before(deadline) {
+		t.Errorf("cancelled %v before the deadline", deadline.Sub(h.now))
+	}
+}
+
 // TestSchedulerTimeNeverGoesBack steps the dispatcher with times out of order.
 func TestSchedulerTimeNeverGoesBack(t *testing.T) {
 	h := newHarness(t)
--- a/internal/dispatcher/messages.go
+++ b/internal/dispatcher/messages.go
@@ -44,11 +44,11 @@
 			d.beginShutdown(now, m.deadline)
 		}
 	}
-	d.cancelAtShutdown(now)
 	if !d.nextTimer.IsZero() && !now.Before(d.nextTimer) {
 		d.nextTimer = time.Time{}
 		d.events = append(d.events, scheduler.Timer{})
 	}
+	d.cancelAtShutdown(now) // sets its timer anew, so it comes after the one that is due
 	d.endpointEvents = append(d.endpointEvents, d.events...)
 	return d.endpointEvents
 }
