--- a/cmd/initiator/follow.go
+++ b/cmd/initiator/follow.go
@@ -111,6 +111,7 @@
 	listening := make(chan struct{})
 	options := runOptions{
 		shareAddresses: true,
+		terminated:     ctx.Done(),
 		onListening:    func() { close(listening) },
 	}
 	go func() {
--- a/cmd/initiator/initiator.go
+++ b/cmd/initiator/initiator.go
@@ -32,23 +32,6 @@
 	// unused connections: the target would close them while attempts are on their way.
 	poolIdleNumerator   = 4
 	poolIdleDenominator = 5
-	// The wait for the servers' graceful shutdown ends shutdownMargin after the longest deadline or, if that is longer, after
-	// minShutdownTimeout. Both bound how long an open connection can hold up the end of the process. They don't bound requests:
-	// these have their responses by the FinalAnswerBy of dispatcher.ShutdownSchedule, since SIGKILL may come before this wait
-	// ends.
-	minShutdownTimeout = 3 * time.Second
-	shutdownMargin     = 600 * time.Millisecond
-)
-
-// errSuperseded is the cause that stops an initiator whose successor has taken over its addresses. The process goes on, so
-// the dispatcher gets no deadline for its open requests; a later SIGTERM does not set one either. The servers still shorten
-// the timeouts of requests that come late in the shutdown.
-var errSuperseded = errors.New("a successor serves")
-
-// Reasons for a graceful shutdown, in the log.
-const (
-	reasonSIGTERM    = "SIGTERM" // or SIGINT
-	reasonSuperseded = "SUPERSEDED"
 )
 
 // server serves clients on a listener until Shutdown, which returns once all requests have their responses or the context
@@ -64,6 +47,8 @@
 	shareAddresses bool
 	// onListening is called once all servers listen; may be nil.
 	onListening func()
+	// terminated is closed when the process is to end, also if a successor serves by then; nil: the context tells that.
+	terminated <-chan struct{}
 	// discoveryAddrs receives the new address whenever discovery moves; nil: it does not move.
 	discoveryAddrs <-chan string
 }
@@ -164,8 +149,7 @@
 	return servers
 }
 
-// run serves until the context ends, and then until the graceful shutdown is complete. If a server fails it returns at once,
-// and requests in flight get no response. It owns the background goroutines: the graceful shutdown needs them, and they end
+// run serves until the context ends or a server fails, and then until the graceful shutdown is complete. It owns the background goroutines: the graceful shutdown needs them, and they end
 // when run returns.
 func (in *initiator) run(ctx context.Context, options runOptions) error {
 	background, stopBackground := context.WithCancel(context.Background())
@@ -184,9 +168,12 @@
 	}
 	select {
 	case err := <-failed:
-		return err
+		return errors.Join(err, in.shutdown(reasonServerFailed, nil))
 	case <-ctx.Done():
-		return in.shutdown(context.Cause(ctx))
+		if errors.Is(context.Cause(ctx), errSuperseded) {
+			return in.shutdown(reasonSuperseded, options.terminated)
+		}
+		return in.shutdown(reasonSIGTERM, nil)
 	}
 }
 
@@ -212,30 +199,3 @@
 	}
 	return failed
 }
-
-// shutdown ends the servers gracefully: accepted requests get their responses first.
-func (in *initiator) shutdown(cause error) error {
-	reason := reasonSIGTERM
-	if errors.Is(cause, errSuperseded) {
-		reason = reasonSuperseded
-	}
-	in.log.Info("shutting down", slog.String("reason", reason), slog.Int("open_calls", in.dispatcher.OpenCalls()))
-	maxDeadline := in.config.MaxDeadline()
-	if !errors.Is(cause, errSuperseded) {
-		schedule := dispatcher.NewShutdownSchedule(maxDeadline)
-		in.dispatcher.Shutdown(time.Now().Add(schedule.FinalAnswerBy))
-	}
-	timeout := max(maxDeadline, minShutdownTimeout) + shutdownMargin
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	ended := make(chan error, len(in.servers))
-	for _, server := range in.servers {
-		go func() { ended <- server.Shutdown(ctx) }()
-	}
-	var err error
-	for range in.servers {
-		err = errors.Join(err, <-ended)
-	}
-	in.log.Info("shut down", slog.Int("open_calls", in.dispatcher.OpenCalls()))
-	return err
-}
