--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -148,6 +148,7 @@
 	for _, c := range []struct{ old, new, want string }{
 		{"listen", "lisen", "nvme.lisen: unknown field"},
 		{"127.0.0.1:4420", "here", "nvme.listen"},
+		{"127.0.0.1:4420", platform.Listen, "nvme.listen: " + platform.Listen + " is where health checks are answered"},
 		{`host_id = "5f`, `host_id = "zz`, "nvme.host_id"},
 		{"queue_depth = 64", "queue_depth = 1", "nvme.queue_depth"},
 		{"keep_alive_ms = 5000", "keep_alive_ms = 5", "nvme.keep_alive_ms"},
--- a/internal/config/nvme.go
+++ b/internal/config/nvme.go
@@ -10,7 +10,7 @@
 
 // NVMe sets up NVMe over TCP instead of the platform's HTTP, towards hosts and targets alike.
 type NVMe struct {
-	// Listen is the host:port where hosts connect; required.
+	// Listen is the host:port where hosts connect; required, and another than that of the platform's configuration.
 	Listen string `toml:"listen"`
 	// Subsystem is the NQN under which hosts connect, 1 to 223 bytes.
 	Subsystem string `toml:"subsystem"`
@@ -101,6 +101,9 @@
 	if err := checkHostPort(n.Listen); err != nil {
 		return &FieldError{Field: "listen", Err: err}
 	}
+	if n.Listen == platform.Listen {
+		return fieldError("listen", "%s is where health checks are answered over HTTP", n.Listen)
+	}
 	if err := n.validateNames(); err != nil {
 		return err
 	}
