--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -21,7 +21,7 @@
 // past its objective, otherwise until its volume is within its rate again.
 func (s *Scheduler) retryAfter(r *request) time.Duration {
 	if r.pastObjective {
-		return r.deadline - s.now
+		return max(0, r.deadline-s.now)
 	}
 	return max(0, r.startTag-s.now)
 }
--- a/scheduler/completion_test.go
+++ b/scheduler/completion_test.go
@@ -107,3 +107,31 @@
 		t.Errorf("responses %v after %v, want one for each of three", h.responses, h.now-shutdownAt)
 	}
 }
+
+// TestRequestAfterShutdownIsNotSent has a request arrive when the time of a shutdown is just over, and later. Failure: it is
+// queued with a deadline in the past, gets one tick until it is given up, and may be sent in it, for a response that comes too
+// late.
+func TestRequestAfterShutdownIsNotSent(t *testing.T) {
+	const within = 500 * ms
+	for _, after := range []time.Duration{within, within + ms, 2 * within} {
+		h := newHarness(t, testSettings(), servingTarget(testTarget, 0))
+		h.step(Shutdown{Within: within})
+		h.now += after
+		h.step(testRequest("a", "v", 1))
+		if len(h.sends) != 0 || len(h.responses) != 1 || h.responses[0].Kind != Reject {
+			t.Errorf("after %v: sends %v, responses %v; want one rejection", after, h.sends, h.responses)
+		}
+	}
+}
+
+// TestRetryAfterIsNotNegative gives a request up that is past its objective, before and after its deadline. Failure: a result
+// that comes after the deadline makes the advice to the client a time in the past.
+func TestRetryAfterIsNotNegative(t *testing.T) {
+	h := newHarness(t, testSettings())
+	for left, want := range map[time.Duration]time.Duration{300 * ms: 300 * ms, -50 * ms: 0} {
+		r := &request{pastObjective: true, deadline: h.now + left}
+		if got := h.scheduler.retryAfter(r); got != want {
+			t.Errorf("with %v left: Retry-After %v, want %v", left, got, want)
+		}
+	}
+}
