--- a/scheduler/latency.go
+++ b/scheduler/latency.go
@@ -68,7 +68,7 @@
 // flight: targets need not report both, both grow with the requests ahead of a new one, and queueingFactor is
 // learned from the value that is used.
 func (s *Scheduler) onLoadReport(t *target, report *LoadReport) {
-	if report == nil || t.smoothedLatency == 0 {
+	if report == nil || !t.hasLatency() {
 		return
 	}
 	load := report.QueueDepth
@@ -81,10 +81,13 @@
 	}
 }
 
+// hasLatency reports whether the target has responded yet: the latencies are 0 until then.
+func (t *target) hasLatency() bool { return t.smoothedLatency > 0 }
+
 // recordLatency updates the target's latencies from a response. The latency is in seconds, for a request of
 // mean size; loadAtSend is the load that the target reported shortly before the attempt, or -1.
 func (s *Scheduler) recordLatency(t *target, latency, loadAtSend float64) {
-	if t.smoothedLatency == 0 {
+	if !t.hasLatency() {
 		t.smoothedLatency = latency
 		t.baseLatency = latency
 	}
--- a/scheduler/latency_test.go
+++ b/scheduler/latency_test.go
@@ -79,3 +79,26 @@
 		}
 	}
 }
+
+// TestTimeoutBeforeFirstResponse has an attempt with a short timeout end before the target's first response, which then comes
+// after 40 ms. Failure: the smoothed latency, which is 0 as long as nothing was heard, is raised from 0 by the timeout; the base
+// latency stays at 0, every response looks slow beside it, and the concurrency limit falls to its minimum.
+func TestTimeoutBeforeFirstResponse(t *testing.T) {
+	h := newHarness(t, testSettings(), servingTarget(testTarget, 0))
+	h.step(testRequest("a", "v", 1))
+	h.now += 30 * ms
+	h.endAttempt("a", DeadlineExceeded, 30*ms)
+	h.step(ClientClosed{RequestID: "a"})
+	for i := range 4 {
+		h.now += time.Second
+		id := fmt.Sprintf("b%d", i)
+		h.step(testRequest(id, "w", 1))
+		h.now += 40 * ms
+		h.endAttempt(id, Succeeded, 40*ms)
+	}
+	target := h.target()
+	if target.baseLatency < 0.039 || target.baseLatency > 0.041 || target.concurrencyLimit < initialConcurrency {
+		t.Errorf("base latency %v s, concurrency limit %v; want 0.04 s and %v at least",
+			target.baseLatency, target.concurrencyLimit, initialConcurrency)
+	}
+}
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -78,7 +78,9 @@
 // timeout shows only that the latency is at least that long.
 func (s *Scheduler) recordTimeout(t *target, latency time.Duration) {
 	if latency < s.silenceTimeout(t) {
-		t.smoothedLatency += max(0, latency.Seconds()-t.smoothedLatency) * smoothingGain
+		if t.hasLatency() {
+			t.smoothedLatency += max(0, latency.Seconds()-t.smoothedLatency) * smoothingGain
+		}
 		return
 	}
 	t.consecutiveFailures++
