--- a/internal/upstream/memorybudget.go
+++ b/internal/upstream/memorybudget.go
@@ -16,11 +16,15 @@
 
 // acquire takes bytes from the budget, or none if there are fewer.
 func (b *memoryBudget) acquire(bytes int64) bool {
-	if b.free.Add(-bytes) < 0 {
-		b.free.Add(bytes)
-		return false
+	for {
+		free := b.free.Load()
+		if free < bytes {
+			return false
+		}
+		if b.free.CompareAndSwap(free, free-bytes) {
+			return true
+		}
 	}
-	return true
 }
 
 // release returns bytes that were acquired.
