--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -160,10 +160,10 @@
 	return dialed
 }
 
-// exchange carries the attempt on a connection. If the attempt was cancelled or its client closed before that, nothing is
-// sent, and the connection stays usable.
+// exchange carries the attempt on a connection. If the attempt was cancelled, its client closed or its deadline passed before
+// that, nothing is sent, and the connection stays usable.
 func (t *target) exchange(ctx context.Context, a *inFlightAttempt, c *pooledConn) RoundTripResult {
-	if !a.attach(c.Conn) || a.clientGone() {
+	if !a.attach(c.Conn) || ctx.Err() != nil || a.clientGone() {
 		return NoResponse(scheduler.NotSent, ReasonNone)
 	}
 	c.uses++
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -1,8 +1,11 @@
 package upstream
 
 import (
+	"context"
+	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -216,3 +219,40 @@
 		t.Errorf("in time: status %v", result.Status)
 	}
 }
+
+// TestDeadlineInQuarantineIsNotSent has the deadline of an attempt come while it waits for the end of its connection's
+// quarantine.
+//
+// Rule: nothing was sent, which says nothing about the target, and the connection stays in the pool. Failure: the attempt still
+// tries to write, the write fails for its deadline, and it counts as a connection that failed; after three of them a healthy
+// target is an outlier.
+func TestDeadlineInQuarantineIsNotSent(t *testing.T) {
+	server := newFakeTarget(t, respondOK)
+	conn, err := NewHTTPDialer(0).Dial(context.Background(), server.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeQuietly(conn)
+	inQuarantine := &pooledConn{Conn: conn, uses: 1, returnedAt: time.Now().Add(testTimeout)}
+	var result dispatcher.AttemptResult
+	actor := newTarget(testTarget, Options{Logger: slog.New(slog.DiscardHandler)}, new(atomic.Int64),
+		func(r dispatcher.AttemptResult) { result = r })
+	actor.update(server.Addr().String(), scheduler.Serving)
+	deadline := time.Now().Add(time.Millisecond)
+	ctx, stop := context.WithDeadline(context.Background(), deadline)
+	attempt := &inFlightAttempt{stop: stop, Attempt: dispatcher.Attempt{
+		Target: testTarget, Deadline: deadline, Payload: &httpmsg.Request{Method: http.MethodGet, URI: "/"},
+	}}
+	actor.runAttempt(ctx, attempt, inQuarantine)
+	if result.Status != scheduler.NotSent {
+		t.Errorf("status %v, want it not sent", result.Status)
+	}
+	for _, m := range actor.mailbox.Take(nil) {
+		if released, ok := m.(attemptReleased); ok && released.conn != inQuarantine {
+			t.Error("the connection was closed")
+		}
+	}
+	if !inQuarantine.IsIdle() || server.requests.Load() != 0 {
+		t.Errorf("idle %v, %d requests reached the target", inQuarantine.IsIdle(), server.requests.Load())
+	}
+}
