--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -65,11 +65,9 @@
 		result = t.exchange(ctx, a, conn)
 		uses = conn.uses
 	}
-	if !result.Reusable() {
-		if conn != nil {
-			conn.abandon()
-			conn = nil
-		}
+	if conn != nil && !result.Reusable() {
+		conn.abandon()
+		conn = nil
 		t.log.closed(uses, result.CloseReason, a.ClientRequestID)
 	}
 	if result.Status == scheduler.ConnectFailed && a.isCancelled() {
@@ -130,6 +128,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	t.log.dialOverdue(a.ClientRequestID)
 	a.leftBackgroundDial = t.backgroundDialActive.CompareAndSwap(false, true)
 	if !a.leftBackgroundDial {
 		stopDial()
@@ -152,6 +151,7 @@
 		address := t.address()
 		conn, err := t.options.Dialer.Dial(ctx, address)
 		if err != nil {
+			t.log.dialFailed(address, err)
 			dialed <- nil
 			return
 		}
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -256,3 +257,32 @@
 		t.Errorf("idle %v, %d requests reached the target", inQuarantine.IsIdle(), server.requests.Load())
 	}
 }
+
+// TestFailedDialIsLogged has a target refuse the connection of an attempt. An operator must see why, in one line that names the
+// target, and no end of a connection that never came up.
+func TestFailedDialIsLogged(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closeQuietly(listener)
+	var log strings.Builder
+	results := make(chan dispatcher.AttemptResult, 1)
+	registry := NewRegistry(Options{
+		Dialer:            NewHTTPDialer(0),
+		DialTimeout:       testTimeout,
+		IdleTimeout:       time.Minute,
+		MaxConnsPerTarget: testMaxConnsPerTarget,
+		MaxConns:          testMaxConns,
+		Logger:            slog.New(slog.NewTextHandler(&log, nil)),
+	}, func(result dispatcher.AttemptResult) { results <- result })
+	registry.Apply([]Endpoint{{ID: testTarget, Addr: listener.Addr().String()}}, true)
+	registry.Send(dispatcher.Attempt{RequestID: "1", Target: testTarget, Deadline: time.Now().Add(testTimeout)})
+	if result := <-results; result.Status != scheduler.ConnectFailed {
+		t.Errorf("status %v, want no connection", result.Status)
+	}
+	if got := log.String(); !strings.Contains(got, `msg="connection failed" side=target target=n`) ||
+		!strings.Contains(got, "connection refused") || strings.Contains(got, "connection ended") {
+		t.Errorf("logged %q", got)
+	}
+}
--- a/internal/upstream/closereason.go
+++ b/internal/upstream/closereason.go
@@ -17,8 +17,8 @@
 // Reasons that an attempt or the pool closes a connection for. Failed reads and writes have further ones: see
 // ReadFailed and WriteFailed.
 const (
-	// ReasonConnectFailed: no connection came up for the attempt in time, so none has ended; its dial may go on in the
-	// background. A full pool and a background dial that fails are not logged.
+	// ReasonConnectFailed: no connection came up for the attempt in time. It is not logged, since none has ended: the lines
+	// "connection failed" and "connection overdue" tell of that. A full pool has no line.
 	ReasonConnectFailed    CloseReason = "CONNECT_FAILED"
 	ReasonNotSent          CloseReason = "NOT_SENT"
 	ReasonCancelled        CloseReason = "CANCELLED"
--- a/internal/upstream/connlog.go
+++ b/internal/upstream/connlog.go
@@ -2,7 +2,7 @@
 
 import "log/slog"
 
-// connLog logs how the connections to one target end.
+// connLog logs how the connections to one target end, and why one did not come up.
 type connLog struct {
 	logger   *slog.Logger
 	targetID string
@@ -18,3 +18,20 @@
 		slog.Int("conn_attempts", uses),
 		slog.String("request", clientRequestID))
 }
+
+// dialFailed logs why no connection came up.
+func (l connLog) dialFailed(address string, err error) {
+	l.logger.Info("connection failed",
+		slog.String("side", "target"),
+		slog.String("target", l.targetID),
+		slog.String("address", address),
+		slog.Any("error", err))
+}
+
+// dialOverdue logs that an attempt no longer waits for its connection, which may still come up.
+func (l connLog) dialOverdue(clientRequestID string) {
+	l.logger.Info("connection overdue",
+		slog.String("side", "target"),
+		slog.String("target", l.targetID),
+		slog.String("request", clientRequestID))
+}
