--- a/internal/clienthttp/conntable_test.go
+++ b/internal/clienthttp/conntable_test.go
@@ -8,8 +8,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"dapplegate/internal/dispatcher"
 )
 
 // TestConnectionLimitEvictsIdle uses up the limit with idle connections: a new one is served all the same, and the one idle
@@ -134,3 +137,44 @@
 		})
 	}
 }
+
+// TestAnnouncedCloseIsLoggedAsResponded gets a response that announces the end of its connection. An operator who looks for
+// requests without a response must not find this one as in flight.
+func TestAnnouncedCloseIsLoggedAsResponded(t *testing.T) {
+	var log lockedBuffer
+	s := newTestServer(newFakeDispatcher(), maxTestConns)
+	s.conns.log = slog.New(slog.NewTextHandler(&log, nil))
+	l := listen(t)
+	serve(t, s, l)
+	d := s.dispatcher.(*fakeDispatcher)
+	go func() { (<-d.calls).Respond(dispatcher.Response{Status: dispatcher.Duplicate}) }()
+	_, _, conn := roundTripOnNewConn(t, l.Addr().String(), validGet)
+	readUntilClosed(conn)
+	for giveUpAt := time.Now().Add(testTimeout); !strings.Contains(log.String(), "connection ended"); {
+		if time.Now().After(giveUpAt) {
+			t.Fatal("the end of the connection is not logged")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got := log.String(); !strings.Contains(got, "state=RESPONDED") {
+		t.Errorf("logged %q, want the request as responded", got)
+	}
+}
+
+// lockedBuffer is a log that is read while it is written.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.String()
+}
