--- a/internal/upstream/httpresponse.go
+++ b/internal/upstream/httpresponse.go
@@ -174,8 +174,9 @@
 func (r *responseReader) hasExcess() bool { return r.buffer.Buffered() > 0 }
 
 // failure is the outcome of an attempt whose response could not be read; the attempt may have executed. DeadlineExceeded
-// stands for the attempt's deadline alone. ConnectionReset stands for all other causes: besides a connection that was reset or
-// ended early, a stalled, malformed or too large response and an exhausted memory budget. The CloseReason tells them apart.
+// stands for the attempt's deadline alone, Cancelled for an exhausted memory budget, which says nothing about the target.
+// ConnectionReset stands for all other causes: besides a connection that was reset or ended early, a stalled, malformed or too
+// large response. The CloseReason tells them apart.
 func (r *responseReader) failure(err error) RoundTripResult {
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
@@ -183,6 +184,8 @@
 		return NoResponse(scheduler.ConnectionReset, ReasonReadStalled)
 	case timedOut:
 		return NoResponse(scheduler.DeadlineExceeded, ReadFailed(err))
+	case errors.Is(err, errMemoryBudget):
+		return NoResponse(scheduler.Cancelled, ReadFailed(err))
 	case errors.Is(err, errBodyTooLarge), r.limit.N <= 0:
 		return NoResponse(scheduler.ConnectionReset, ReasonResponseTooLarge)
 	}
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -127,16 +127,16 @@
 	}
 }
 
-// start runs an attempt on an idle connection or on a new one. An attempt that cannot start is reported at once: NotSent if
-// the target is not serving, ConnectFailed if the pool is full.
+// start runs an attempt on an idle connection or on a new one. An attempt that cannot start, because the target is not serving
+// or this process has no connection to spare, is reported as NotSent at once.
 func (t *target) start(a dispatcher.Attempt) {
 	if !t.isServing() {
-		t.reportStatus(a, scheduler.NotSent)
+		t.reportNotSent(a)
 		return
 	}
 	conn, ok := t.pool.acquire()
 	if !ok {
-		t.reportStatus(a, scheduler.ConnectFailed)
+		t.reportNotSent(a)
 		return
 	}
 	ctx, stop := context.WithDeadline(context.Background(), a.Deadline)
@@ -145,8 +145,8 @@
 	go t.runAttempt(ctx, attempt, conn)
 }
 
-func (t *target) reportStatus(a dispatcher.Attempt, status scheduler.AttemptStatus) {
-	t.report(dispatcher.AttemptResult{RequestID: a.RequestID, Number: a.Number, Target: t.id, Status: status})
+func (t *target) reportNotSent(a dispatcher.Attempt) {
+	t.report(dispatcher.AttemptResult{RequestID: a.RequestID, Number: a.Number, Target: t.id, Status: scheduler.NotSent})
 }
 
 func (t *target) finish(m attemptReleased) {
