--- a/internal/dispatcher/messages.go
+++ b/internal/dispatcher/messages.go
@@ -28,6 +28,7 @@
 // due. Endpoint lists go first: otherwise a request ahead of one could be sent to a target that is already known to be
 // draining. The slice is valid until the next call.
 func (d *Dispatcher) applyMessages(now time.Time, messages []message) []scheduler.Event {
+	d.requestIDs.expire(now)
 	d.events = d.events[:0]
 	d.endpointEvents = d.endpointEvents[:0]
 	for _, m := range messages {
@@ -112,7 +113,6 @@
 		VolumeUsage: result.VolumeUsage,
 	})
 	d.releaseIfDone(state)
-	d.requestIDs.expire(now)
 }
 
 // beginShutdown passes the time that is left to the scheduler.
--- a/internal/dispatcher/requestids.go
+++ b/internal/dispatcher/requestids.go
@@ -10,8 +10,8 @@
 // is open, and for executedIDLifetime or longer after a request that may have been executed. The id of a request that no
 // target may have executed is free at once, so that a client may repeat a rejected request under it.
 //
-// Ids of ended requests are held in two generations, so that expiry costs no work for each id. Expiry is checked when an
-// attempt ends: without attempts, no id of a request that may have been executed is added.
+// Ids of ended requests are held in two generations, so that expiry costs no work for each id. Expiry is checked at the start of
+// each step, before ids are reserved or released.
 type requestIDs struct {
 	open           map[string]bool
 	executed       map[string]bool // ended since the last rotation
@@ -54,10 +54,14 @@
 
 // expire frees ids whose lifetime has ended.
 func (r *requestIDs) expire(now time.Time) {
-	if now.Sub(r.lastRotation) <= executedIDLifetime {
+	sinceRotation := now.Sub(r.lastRotation)
+	if sinceRotation <= executedIDLifetime {
 		return
 	}
 	r.executedBefore = r.executed
+	if sinceRotation > 2*executedIDLifetime { // none has been added for a lifetime
+		r.executedBefore = map[string]bool{}
+	}
 	r.executed = map[string]bool{}
 	r.lastRotation = now
 }
--- a/internal/dispatcher/requestids_test.go
+++ b/internal/dispatcher/requestids_test.go
@@ -63,3 +63,23 @@
 		t.Errorf("%d ids are reserved, want the last alone", n)
 	}
 }
+
+// TestRequestIDExpiresWithoutTraffic has a client use an id again long after a request that may have been executed, with
+// nothing in between. Failure: ids expire only when an attempt ends, and the client gets a duplicate for a new request.
+func TestRequestIDExpiresWithoutTraffic(t *testing.T) {
+	for _, after := range []time.Duration{2*executedIDLifetime + time.Millisecond, time.Hour} {
+		h := newHarness(t)
+		h.submitWithID(t, "a", "put")
+		h.receive(attemptEnded{h.upstream.result(scheduler.Succeeded)})
+		h.now = h.now.Add(executedIDLifetime - time.Millisecond)
+		h.submitWithID(t, "a", "put")
+		if h.lastResponse().Status != Duplicate {
+			t.Errorf("within its lifetime: %+v, want a duplicate", h.lastResponse())
+		}
+		h.now = h.now.Add(after)
+		h.submitWithID(t, "a", "put")
+		if len(h.upstream.sent) != 2 {
+			t.Errorf("%v later: %+v, want it sent", after, h.lastResponse())
+		}
+	}
+}
