--- a/cmd/initiator/initiator.go
+++ b/cmd/initiator/initiator.go
@@ -149,8 +149,8 @@
 	return servers
 }
 
-// run serves until the context ends or a server fails, and then until the graceful shutdown is complete. It owns the background goroutines: the graceful shutdown needs them, and they end
-// when run returns.
+// run serves until the context ends or a server fails, and then until the graceful shutdown is complete. It owns the background
+// goroutines: the graceful shutdown needs them, and they end when run returns.
 func (in *initiator) run(ctx context.Context, options runOptions) error {
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -73,7 +73,7 @@
 	ConnectFailed
 	// ConnectionReset attempts lost their connection and may have been executed.
 	ConnectionReset
-	// Cancelled attempts were cancelled by the initiator and may have been executed.
+	// Cancelled attempts were ended by the initiator for reasons of its own, and may have been executed.
 	Cancelled
 	// NotSent attempts ended before their first byte.
 	NotSent
