--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -48,6 +48,12 @@
 	hasResponded atomic.Bool
 	// closeReason is the first reason that was recorded; nil if there is none yet. Written by any goroutine, read for the log.
 	closeReason atomic.Pointer[closeReason]
+	// readError is the error that recordReadError has recorded; nil if there is none. Written by the reader, read for the
+	// log.
+	readError atomic.Pointer[error]
+	// unreadAtClose is how many bytes were unread when the table closed the connection. Written by the table, read for the
+	// log.
+	unreadAtClose atomic.Int64
 	// inFlightRequestID is the client's ID of the request in flight; nil if no request is in flight. Set by the handler,
 	// cleared by the state hook, read for the log.
 	inFlightRequestID atomic.Pointer[string]
@@ -220,6 +226,17 @@
 	}
 }
 
+// recordReadError records the first error of Read for the log, except for ordinary ones: the client or this side has closed
+// the connection, or a deadline has passed.
+func (c *clientConn) recordReadError(err error) {
+	for _, ordinary := range []error{io.EOF, os.ErrDeadlineExceeded, net.ErrClosed} {
+		if errors.Is(err, ordinary) {
+			return
+		}
+	}
+	c.readError.CompareAndSwap(nil, &err)
+}
+
 // readFailureReason returns the reason that an error of Read gives for the end of the connection.
 func (c *clientConn) readFailureReason(err error) closeReason {
 	switch {
--- a/internal/clienthttp/connread.go
+++ b/internal/clienthttp/connread.go
@@ -26,6 +26,7 @@
 	n, err := c.read(buffer)
 	if err != nil {
 		c.recordCloseReason(c.readFailureReason(err))
+		c.recordReadError(err)
 	}
 	return n, err
 }
--- a/internal/clienthttp/conntable.go
+++ b/internal/clienthttp/conntable.go
@@ -1,6 +1,7 @@
 package clienthttp
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -117,13 +118,21 @@
 	delete(t.open, c)
 	shuttingDown := t.shuttingDown
 	t.mu.Unlock()
-	t.log.Info("connection ended",
+	attrs := []slog.Attr{
 		slog.String("side", "client"),
 		slog.String("peer", c.RemoteAddr().String()),
 		slog.String("reason", string(loggedCloseReason(c, shuttingDown))),
 		slog.Int64("requests", c.requestCount.Load()),
 		slog.String("request", c.loggedRequestID()),
-		slog.String("state", c.state.Load().String()))
+		slog.String("state", c.state.Load().String()),
+	}
+	if readError := c.readError.Load(); readError != nil {
+		attrs = append(attrs, slog.Any("error", *readError))
+	}
+	if unread := c.unreadAtClose.Load(); unread > 0 {
+		attrs = append(attrs, slog.Int64("unread", unread))
+	}
+	t.log.LogAttrs(context.Background(), slog.LevelInfo, "connection ended", attrs...)
 }
 
 // loggedCloseReason returns the first reason recorded for the connection, or else SHUTDOWN or CLOSED_BY_SERVER. A failed
--- a/internal/clienthttp/eviction.go
+++ b/internal/clienthttp/eviction.go
@@ -1,6 +1,10 @@
 package clienthttp
 
-import "time"
+import (
+	"time"
+
+	"dapplegate/internal/socket"
+)
 
 const (
 	// silentTimeout is how long a new connection may receive nothing before it is evicted ahead of idle ones.
@@ -118,6 +122,7 @@
 	if !closed {
 		return false
 	}
+	c.unreadAtClose.Store(int64(socket.UnreadBytes(c.Conn)))
 	_ = c.Close()
 	delete(t.open, c)
 	return true
--- a/internal/clienthttp/handler.go
+++ b/internal/clienthttp/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -121,6 +122,10 @@
 	}
 	response, ok := awaitResponse(r.Context(), conn, responses)
 	if !ok {
+		if !conn.clientClosed() {
+			s.options.Logger.Warn("request was abandoned although its client has not closed the connection",
+				slog.String("request", call.ClientRequestID))
+		}
 		conn.recordCloseReason(reasonClientAborted)
 		s.dispatcher.Cancel(call)
 		// If the handler returned normally, net/http would write an empty 200, a response that no target gave.
--- a/internal/dispatcher/actions.go
+++ b/internal/dispatcher/actions.go
@@ -17,9 +17,9 @@
 			d.send(state, now, action)
 		}
 	case scheduler.Reject:
-		d.finish(action.RequestID, Response{Status: Rejected, RetryAfter: action.RetryAfter})
+		d.finish(action.RequestID, Response{Status: Rejected, RetryAfter: action.RetryAfter, EndReason: action.EndReason})
 	case scheduler.Fail:
-		d.finish(action.RequestID, Response{Status: Failed})
+		d.finish(action.RequestID, Response{Status: Failed, EndReason: action.EndReason})
 	case scheduler.WatchEndpoints:
 		// Only the simulator's adapter needs this action. In the initiator, the discovery watcher polls on its own.
 	}
@@ -75,6 +75,7 @@
 	}
 	state.ended = true
 	response.LastAttemptStatus = state.lastStatus
+	d.traffic.recordResponse(response.Status)
 	d.logResponse(state, response)
 	state.call.Respond(response)
 }
@@ -88,8 +89,13 @@
 	if state.attempts > 0 {
 		attrs = append(attrs, slog.String(fieldLastAttempt, state.lastStatus.String()))
 	}
-	attrs = append(attrs, slog.Duration(fieldAge, time.Since(state.call.ReceivedAt)))
+	if response.EndReason != scheduler.EndUnspecified {
+		attrs = append(attrs, slog.String(fieldCause, response.EndReason.String()))
+	}
+	age := time.Since(state.call.ReceivedAt)
+	attrs = append(attrs, slog.Duration(fieldAge, age))
 	d.logCall(eventRequestEnded, state.call, attrs...)
+	d.logLateResponse(state, response, age)
 }
 
 // releaseIfDone releases a call that has ended and has no attempt in flight.
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -43,6 +43,7 @@
 	Payload           any                     // payload of the AttemptResult; set if Status is Served
 	RetryAfter        time.Duration           // how long the client should wait before it retries; 0: no advice
 	LastAttemptStatus scheduler.AttemptStatus // outcome of the last attempt; meaningless if there was none
+	EndReason         scheduler.EndReason     // why the scheduler ended the request; EndUnspecified if it did not
 }
 
 // overloadRetryAfter is the RetryAfter of Overloaded. It gives open calls time to end before the client retries.
--- a/internal/dispatcher/calllog.go
+++ b/internal/dispatcher/calllog.go
@@ -16,17 +16,27 @@
 	eventRequestEnded      = "request ended"
 )
 
-// eventStepLate is logged if the event loop ran late, for example because the process or the machine was paused.
-const eventStepLate = "step was late"
+// Log events of delays.
+const (
+	// eventStepLate is logged if the event loop ran late, for example because the process or the machine was paused.
+	eventStepLate = "step was late"
+	// eventResponseLate is logged if a response was determined only after its client's timeout.
+	eventResponseLate = "response is late"
+)
 
-// lateStepThreshold is the minimum delay of a step that is logged.
-const lateStepThreshold = 20 * time.Millisecond
+const (
+	// lateStepThreshold is the minimum delay of a step that is logged, at debug level.
+	lateStepThreshold = 20 * time.Millisecond
+	// pauseThreshold is the minimum delay of a step that is logged at info level.
+	pauseThreshold = 100 * time.Millisecond
+)
 
 // Fields of these log lines.
 const (
 	fieldRequest        = "request" // the client's ID for the request
 	fieldClass          = "class"
-	fieldAge            = "age" // time since the last byte of the request arrived
+	fieldCause          = "cause" // a scheduler.EndReason; absent unless the scheduler ended the request
+	fieldAge            = "age"   // time since the last byte of the request arrived
 	fieldClientTimeout  = "client_timeout"
 	fieldAttemptTimeout = "attempt_timeout"
 	fieldReason         = "reason"
@@ -53,12 +63,31 @@
 	d.options.Logger.LogAttrs(ctx, slog.LevelDebug, event, attrs...)
 }
 
-// logLateStep logs, at debug level, how much later than its timer the step at the given time runs.
+// logLateResponse logs a response that comes after its client's timeout, counted from the arrival of the request.
+func (d *Dispatcher) logLateResponse(state *callState, response Response, age time.Duration) {
+	if age <= state.call.ClientTimeout {
+		return
+	}
+	d.options.Logger.Info(eventResponseLate,
+		slog.String(fieldReason, response.Status.String()),
+		slog.Int(fieldAttempts, state.attempts),
+		slog.Duration(fieldAge, age),
+		slog.Duration(fieldClientTimeout, state.call.ClientTimeout),
+		slog.String(fieldRequest, state.call.ClientRequestID))
+}
+
+// logLateStep logs how much later than its timer the step at the given time runs.
 func (d *Dispatcher) logLateStep(now time.Time) {
 	if d.nextTimer.IsZero() {
 		return
 	}
-	if late := now.Sub(d.nextTimer); late >= lateStepThreshold {
-		d.options.Logger.Debug(eventStepLate, slog.Duration(fieldLate, late))
+	late := now.Sub(d.nextTimer)
+	if late < lateStepThreshold {
+		return
+	}
+	level := slog.LevelDebug
+	if late >= pauseThreshold {
+		level = slog.LevelInfo
 	}
+	d.options.Logger.Log(context.Background(), level, eventStepLate, slog.Duration(fieldLate, late))
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -42,6 +42,7 @@
 	nextTimer        time.Time     // when to step even without a message; zero: no timer is set
 	shutdownDeadline time.Time     // when attempts still in flight are cancelled; zero: no shutdown has begun
 	lastStep         time.Duration // scheduler time of the last step
+	traffic          trafficCounts
 
 	// Buffers reused for each batch of messages.
 	events         []scheduler.Event
@@ -123,6 +124,7 @@
 
 // step applies one batch of messages, passes the resulting events to the scheduler and carries out the scheduler's actions.
 func (d *Dispatcher) step(now time.Time, messages []message) {
+	d.traffic.logIfDue(now, d.options.Logger)
 	events := d.applyMessages(now, messages)
 	if len(events) == 0 {
 		return
--- a/internal/dispatcher/messages.go
+++ b/internal/dispatcher/messages.go
@@ -61,6 +61,7 @@
 func (d *Dispatcher) accept(now time.Time, call *Call) {
 	if !d.clientRequestIDs.reserve(call.ClientRequestID) {
 		d.openCalls.Add(-1)
+		d.traffic.recordResponse(Duplicate)
 		d.logCall(eventRequestEnded, call, slog.String(fieldReason, Duplicate.String()))
 		call.Respond(Response{Status: Duplicate})
 		return
@@ -81,6 +82,7 @@
 		return
 	}
 	state.ended = true
+	d.traffic.clientClosed++
 	d.logCall(eventRequestEnded, call, slog.String(fieldReason, reasonClientClosed),
 		slog.Int(fieldAttempts, state.attempts), slog.Bool(fieldInFlight, state.inFlight))
 	if state.inFlight {
@@ -99,6 +101,7 @@
 	}
 	latency := now.Sub(state.sentAt)
 	state.endAttempt(result.Status)
+	d.traffic.recordAttempt(result.Status)
 	d.logCall(eventAttemptEnded, state.call, slog.Int(fieldAttempt, result.Number), slog.String(fieldTarget, result.Target),
 		slog.String(fieldReason, result.Status.String()), slog.Duration(fieldLatency, latency))
 	if result.Status == scheduler.Succeeded {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -79,6 +79,25 @@
 	return err == nil && shutDown
 }
 
+// UnreadBytes returns how many bytes have arrived on a connection and were not read, or 0 if the kernel does not tell. It
+// also works on a connection that ShutdownIfIdle has shut down.
+func UnreadBytes(conn net.Conn) int {
+	syscallConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rawConn, err := syscallConn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unread := 0
+	_ = rawConn.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // fails on a closed one
+	if err != nil {
+		return 0
+	}
+	return unread
+}
+
 // TrySend sends as much of a message as fits into the send buffer. It never blocks.
 func TrySend(conn net.Conn, message string) {
 	syscallConn, ok := conn.(syscall.Conn)
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -246,3 +246,21 @@
 		t.Errorf("elapsed %v, ok true on a closed connection; want ok false", elapsed)
 	}
 }
+
+// TestUnreadBytes checks that unread bytes are counted, also after a shutdown.
+func TestUnreadBytes(t *testing.T) {
+	client, accepted := connPair(t)
+	if unread := UnreadBytes(accepted); unread != 0 {
+		t.Errorf("%d bytes are unread on a new connection", unread)
+	}
+	if !ShutdownIfIdle(accepted, "", func() bool {
+		write(t, client, "GET")
+		await(t, "the bytes arrive", func() bool { return UnreadBytes(accepted) == len("GET") })
+		return true
+	}) {
+		t.Fatal("the connection was not shut down")
+	}
+	if unread := UnreadBytes(accepted); unread != len("GET") {
+		t.Errorf("%d bytes are unread after the shutdown, want %d", unread, len("GET"))
+	}
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -13,6 +13,9 @@
 // backgroundDialFactor times Options.DialTimeout is how long a dial may take in total if it goes on in the background.
 const backgroundDialFactor = 8
 
+// lateWriteThreshold is how long the last check and the write of an attempt may take together before that is logged.
+const lateWriteThreshold = 20 * time.Millisecond
+
 // inFlightAttempt is an attempt that has started and not ended.
 type inFlightAttempt struct {
 	dispatcher.Attempt
@@ -178,6 +181,9 @@
 		slog.Int("conn_attempts", c.uses),
 		slog.Duration("idle", c.idleTime()))
 	result := c.RoundTrip(a.Attempt, func() bool { return t.mayStart(a, c) })
+	if result.WriteTook >= lateWriteThreshold {
+		t.log.writtenLate(a, result.WriteTook)
+	}
 	if !a.isCancelled() {
 		return result
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"dapplegate/internal/dispatcher"
 	"dapplegate/scheduler"
@@ -35,6 +36,8 @@
 	dispatcher.AttemptResult
 	// CloseReason is why the connection must be closed, or ReasonNone if it can carry another attempt.
 	CloseReason CloseReason
+	// WriteTook is the time from the beginning of the last check, mayStart, until the request was written; 0 if it was not.
+	WriteTook time.Duration
 }
 
 // Reusable reports whether the connection can carry another attempt.
--- a/internal/upstream/connlog.go
+++ b/internal/upstream/connlog.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "log/slog"
+import (
+	"log/slog"
+	"time"
+)
 
 // connLog logs the ends of connections to one target, and failed dials.
 type connLog struct {
@@ -35,3 +38,14 @@
 		slog.String("target", l.targetID),
 		slog.String("request", clientRequestID))
 }
+
+// writtenLate logs that much time passed between the last check of an attempt and the end of its write, in which its client
+// may have closed its connection.
+func (l connLog) writtenLate(a *inFlightAttempt, took time.Duration) {
+	l.logger.Info("attempt was written late",
+		slog.String("side", "target"),
+		slog.String("target", l.targetID),
+		slog.Int("attempt", a.Number),
+		slog.Duration("write_took", took),
+		slog.String("request", a.ClientRequestID))
+}
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -46,14 +46,23 @@
 	_ = c.SetDeadline(attempt.Deadline)
 	request := attempt.Payload.(*httpmsg.Request)
 	message := encodeRequest(request, c.host, time.Until(attempt.Deadline))
+	checkedAt := time.Now()
 	if !mayStart() {
 		return NoResponse(scheduler.NotSent, ReasonNotSent)
 	}
 	if n, err := c.Write(message); n < len(message) {
 		return NoResponse(scheduler.ConnectFailed, WriteErrorReason(err))
 	}
-	reader := newResponseReader(c.Conn, attempt.Deadline, c.budget)
-	resp, err := reader.read(request.Method)
+	writtenAt := time.Now()
+	result := c.awaitResponse(request.Method, attempt.Deadline)
+	result.WriteTook = writtenAt.Sub(checkedAt)
+	return result
+}
+
+// awaitResponse reads the response to a request of the given method that has been written, until the deadline.
+func (c *httpConn) awaitResponse(method string, deadline time.Time) RoundTripResult {
+	reader := newResponseReader(c.Conn, deadline, c.budget)
+	resp, err := reader.read(method)
 	if err != nil {
 		return reader.failureResult(err)
 	}
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -30,4 +30,5 @@
 	StartWithin time.Duration // for Send: the first byte must be sent within this time; 0: no bound
 	RetryAfter  time.Duration // for Reject: how long the client should wait before it retries; 0: no advice
 	Delay       time.Duration // for SetTimer: time from now to the Timer event
+	EndReason   EndReason     // for Reject and Fail: why the request ends
 }
--- a/scheduler/arrival.go
+++ b/scheduler/arrival.go
@@ -20,7 +20,7 @@
 	class := s.classes[e.Class]
 	plan := s.plans[e.Plan]
 	if class == nil || plan == nil || e.Timeout <= 0 {
-		s.emit(Action{Kind: Reject, RequestID: e.ID})
+		s.emit(Action{Kind: Reject, RequestID: e.ID, EndReason: EndNotAccepted})
 		return
 	}
 	r := s.newRequest(e, class, s.volumeFor(e, plan))
@@ -31,7 +31,7 @@
 	r.queue = s.selectQueue(r)
 	if r.objectiveEndsAt <= s.now { // a client retry after the end of the objective of the first request
 		r.pastObjective = true
-		s.giveUp(r)
+		s.giveUp(r, EndPastObjective)
 		return
 	}
 	s.assignTags(r, r.queue)
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -26,8 +26,10 @@
 		s.release(r)
 	case e.RequestEnded:
 		s.endRequest(r)
-	case s.now >= r.giveUpAt || !s.mayRetry(r):
-		s.giveUp(r)
+	case s.now >= r.giveUpAt:
+		s.giveUp(r, EndTimeout)
+	case !s.mayRetry(r):
+		s.giveUp(r, EndNoRetry)
 	default:
 		s.requeue(r, t)
 	}
--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -7,11 +7,11 @@
 
 // giveUp ends the request without a response from a target: it rejects the request if a client retry is
 // safe, and otherwise fails it.
-func (s *Scheduler) giveUp(r *request) {
+func (s *Scheduler) giveUp(r *request, reason EndReason) {
 	if r.isClientRetrySafe() {
-		s.emit(Action{Kind: Reject, RequestID: r.ID, RetryAfter: s.retryAfter(r)})
+		s.emit(Action{Kind: Reject, RequestID: r.ID, RetryAfter: s.retryAfter(r), EndReason: reason})
 	} else {
-		s.emit(Action{Kind: Fail, RequestID: r.ID})
+		s.emit(Action{Kind: Fail, RequestID: r.ID, EndReason: reason})
 	}
 	s.givenUp.add(r, s.now)
 	s.endRequest(r)
@@ -57,7 +57,7 @@
 			s.pendingGiveUps.remove(r)
 			continue
 		}
-		s.giveUp(r)
+		s.giveUp(r, EndTimeout)
 	}
 }
 
