--- a/internal/faulttest/history_test.go
+++ b/internal/faulttest/history_test.go
@@ -49,6 +49,7 @@
 	target           string
 	conn             string // identifies the connection by its address on the initiator's side
 	firstByteAt      time.Time
+	lastByteAt       time.Time     // the target can begin only now
 	announcedTimeout time.Duration // from the Request-Timeout-Ms header
 	executed         bool
 }
--- a/scheduler/endreason.go
+++ b/scheduler/endreason.go
@@ -12,7 +12,7 @@
 	EndTimeout
 	// EndPastObjective means that the request is a client retry that arrived after the end of its objective.
 	EndPastObjective
-	// EndNoRetry means that an attempt did not succeed and the number of attempts or the class allows no other.
+	// EndNoRetry means that an attempt did not succeed, and no other is allowed by MaxAttempts or the class.
 	EndNoRetry
 	// EndNotAccepted means that class or plan are not configured, or that the client no longer waits.
 	EndNotAccepted
