socket: a check that a signal interrupts is repeated; it counted as 'nothing there'

Callers saw: a request was forwarded 0.14 s after its client had disconnected; in a restart, connections that had been accepted were reset without a response.

Cause: poll may return EINTR, also with a timeout of 0 and for the signals by which the Go runtime preempts goroutines. pollNow took that for 'no event': the client is still there, the accept queue is empty. IsOpenAndIdle took EINTR for unread bytes, which only cost a connection.

Change: the calls that never block are in rawcall.go, each repeats after EINTR, and none enters the Go scheduler between a check and its use (as ShutdownIfIdle already did). If the accept queue cannot be checked for another reason, the listener stays open until its deadline.

Evidence: TestInterruptedClientCheckStartsNoAttempt and TestInterruptedAcceptQueueCheckLosesNoConnection inject EINTR into two of three polls.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -19,9 +19,6 @@
 // maxClockTick is the longest tick of the clock with which the kernel measures the age of data.
 const maxClockTick = 10 * time.Millisecond
 
-// peekFlags make a receive call return the first byte without consuming it and without blocking.
-const peekFlags = syscall.MSG_PEEK | syscall.MSG_DONTWAIT
-
 // IsOpenAndIdle reports whether a connection is open and has no unread bytes. It never blocks and ignores deadlines.
 //
 // It detects pooled connections that must not be used again: those that the peer has closed, and those with unread bytes of
@@ -37,12 +34,8 @@
 		return false
 	}
 	idle := false
-	var firstByte [1]byte
 	// Control is used because RawConn.Read would wait for another read in progress.
-	err = rawConn.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), firstByte[:], peekFlags)
-		idle = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-	})
+	err = rawConn.Control(func(fd uintptr) { idle = peek(fd) == syscall.EAGAIN })
 	return err == nil && idle
 }
 
@@ -66,10 +59,7 @@
 	shutDown := false
 	message := []byte(finalMessage)
 	err = rawConn.Control(func(fd uintptr) {
-		var firstByte [1]byte
-		_, _, errno := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd,
-			uintptr(unsafe.Pointer(&firstByte[0])), uintptr(len(firstByte)), peekFlags, 0, 0)
-		if errno != syscall.EAGAIN || !confirm() {
+		if peek(fd) != syscall.EAGAIN || !confirm() {
 			return
 		}
 		sendNow(fd, message)
@@ -135,20 +125,11 @@
 	if err != nil {
 		return true
 	}
-	closed, err := pollNow(rawConn, unix.POLLRDHUP)
+	closed := false
+	err = rawConn.Control(func(fd uintptr) { closed, _ = pollNow(fd, unix.POLLRDHUP) })
 	return err != nil || closed
 }
 
-// pollNow reports whether one of the poll events, an error or a hang-up is pending on a socket. It never blocks. It returns
-// an error if this side has closed the socket.
-func pollNow(rawConn syscall.RawConn, events int16) (ready bool, err error) {
-	err = rawConn.Control(func(fd uintptr) {
-		count, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: events}}, 0)
-		ready = err == nil && count > 0
-	})
-	return ready, err
-}
-
 // SinceLastData returns how long ago the last bytes from the peer arrived at this machine, whether or not they have been
 // read since. The result is never longer than the true time, and at most two ticks of the kernel's clock shorter. ok is
 // false if the kernel does not provide the time, or if this side has closed the socket.
@@ -179,12 +160,17 @@
 	if err != nil {
 		return listener.Close()
 	}
-	for time.Now().Before(deadline) {
-		pending, err := pollNow(rawConn, unix.POLLIN)
-		if err != nil || !pending {
-			break
-		}
+	for time.Now().Before(deadline) && !isAcceptQueueEmpty(rawConn) {
 		time.Sleep(acceptQueuePollInterval)
 	}
 	return listener.Close()
 }
+
+// isAcceptQueueEmpty reports whether no connection is waiting to be accepted, or the listener is closed. It returns false if
+// that cannot be determined.
+func isAcceptQueueEmpty(rawConn syscall.RawConn) bool {
+	pending := false
+	var errno syscall.Errno
+	err := rawConn.Control(func(fd uintptr) { pending, errno = pollNow(fd, unix.POLLIN) })
+	return err != nil || errno == 0 && !pending
+}
