socket: the response before a close is sent whole after EINTR or a short write

Callers saw: a connection that the initiator closes over a client's limit or timeout ended without a response or with half a 503. A client whose first request was on its way counts that request as taken, and it was lost.

Cause: the message is sent by one raw call, to which send(2) may answer EINTR or a smaller number of bytes; both were ignored, and the shutdown followed.

Change: sendAll repeats until all is sent, nothing more fits or the connection is broken.

--- a/internal/socket/rawcall.go
+++ b/internal/socket/rawcall.go
@@ -35,3 +35,29 @@
 		}
 	}
 }
+
+// send sends as much of the data as fits into the send buffer. It returns EAGAIN if nothing fits. The data is not empty.
+func send(fd uintptr, data []byte) (n int, errno syscall.Errno) {
+	for {
+		sent, _, errno := syscall.RawSyscall6(syscall.SYS_SENDTO, fd, uintptr(unsafe.Pointer(&data[0])), uintptr(len(data)),
+			syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, 0, 0)
+		switch errno {
+		case 0:
+			return int(sent), 0
+		case syscall.EINTR:
+		default:
+			return 0, errno
+		}
+	}
+}
+
+// sendAll repeats send until all data is sent, nothing more fits or the connection is broken.
+func sendAll(fd uintptr, data []byte) {
+	for len(data) > 0 {
+		n, errno := send(fd, data)
+		if errno != 0 {
+			return
+		}
+		data = data[n:]
+	}
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -8,7 +8,6 @@
 	"net"
 	"syscall"
 	"time"
-	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -41,7 +40,7 @@
 
 // ShutdownIfIdle shuts a connection down in both directions if it is open, has no unread bytes, and confirm then returns
 // true. It reports whether it did. The caller must still close the connection. If finalMessage is not empty, as much of it
-// as fits into the send buffer is sent first.
+// as fits into the send buffer is sent first: all of it, unless the client leaves its responses unread.
 //
 // A busy process may take long to run a goroutine again after a call into the Go scheduler. If that happened between the
 // check and the shutdown, a request could arrive in between and get no response. ShutdownIfIdle therefore uses raw system
@@ -62,7 +61,7 @@
 		if peek(fd) != syscall.EAGAIN || !confirm() {
 			return
 		}
-		sendNow(fd, message)
+		sendAll(fd, message)
 		_, _, _ = syscall.RawSyscall(syscall.SYS_SHUTDOWN, fd, syscall.SHUT_RDWR, 0)
 		shutDown = true
 	})
@@ -98,16 +97,7 @@
 	if err != nil {
 		return
 	}
-	_ = rawConn.Control(func(fd uintptr) { sendNow(fd, []byte(message)) }) // fails on a closed connection
-}
-
-// sendNow implements TrySend for a file descriptor, without a call into the Go scheduler.
-func sendNow(fd uintptr, message []byte) {
-	if len(message) == 0 {
-		return
-	}
-	_, _, _ = syscall.RawSyscall6(syscall.SYS_SENDTO, fd,
-		uintptr(unsafe.Pointer(&message[0])), uintptr(len(message)), syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, 0, 0)
+	_ = rawConn.Control(func(fd uintptr) { sendAll(fd, []byte(message)) }) // fails on a closed connection
 }
 
 // ClosedByPeer reports whether the peer has closed or reset a connection, even if bytes that it sent earlier are still
