upstream: an attempt is checked before each part of it that is written

Callers saw: a request was forwarded after its end. Its client closed while a part of the attempt had been written, and the rest followed 0.12 s later; a target can begin only with the last byte.

Cause: the client was checked once, and then net.Conn.Write wrote all parts, however long it had to wait for room or was held up between two short writes. Each of these calls also goes through the Go scheduler, so that a busy process could run other goroutines between the check and the write.

Change: socket.WriteWhile calls the check right before each send call, with nothing of the Go scheduler in between. The first check is mayStart as before, with the connection and the client last, because they can change at any time; the later ones ask for the client. An attempt that stops in the middle is NotSent and its connection is closed. NVMe's capsules go the same way.

Evidence: TestAttemptIsNotCompletedAfterClientClosed limits a write to 1,000 of 4,200 bytes and holds the process up for 0.14 s after it.

--- a/internal/faulttest/syscall_test.go
+++ b/internal/faulttest/syscall_test.go
@@ -22,8 +22,13 @@
 	return (call.Number == unix.SYS_POLL || call.Number == unix.SYS_PPOLL) && call.PollEvents()&events != 0
 }
 
-// isResponse reports whether a write call sends the beginning of a response.
-func isResponse(call syscallfault.Call) bool { return string(call.Data(4)) == "HTTP" }
+// isWrite reports whether the call writes to a descriptor.
+func isWrite(call syscallfault.Call) bool {
+	return call.Number == unix.SYS_WRITE || call.Number == unix.SYS_SENDTO
+}
+
+// isResponse reports whether the call sends the beginning of a response.
+func isResponse(call syscallfault.Call) bool { return isWrite(call) && string(call.Data(4)) == "HTTP" }
 
 // isClientCheck reports whether the call asks whether a client has closed its connection.
 func isClientCheck(call syscallfault.Call) bool {
@@ -123,7 +128,7 @@
 	var ready, armed, held atomic.Bool // the first read after a response is held up, once the initiator is ready
 	f := newFixtureWithFaults(t, readClass, serveImmediately, func(call syscallfault.Call) syscallfault.Fault {
 		switch {
-		case ready.Load() && !held.Load() && call.Number == unix.SYS_WRITE && isResponse(call):
+		case ready.Load() && !held.Load() && isResponse(call):
 			armed.Store(true)
 		case call.Number == unix.SYS_READ && call.Args[2] >= minReadBytes && armed.CompareAndSwap(true, false):
 			held.Store(true)
@@ -147,7 +152,7 @@
 func TestAttemptIsNotCompletedAfterClientClosed(t *testing.T) {
 	short := syscallfault.Fault{MaxBytes: 1000, HoldAfter: 140 * time.Millisecond}
 	f := newFixtureWithFaults(t, readClass, serveImmediately, func(call syscallfault.Call) syscallfault.Fault {
-		if call.Number == unix.SYS_WRITE && string(call.Data(4)) == "PUT " {
+		if isWrite(call) && string(call.Data(4)) == "PUT " {
 			return short
 		}
 		return syscallfault.Fault{}
--- a/internal/nvme/targetqueue.go
+++ b/internal/nvme/targetqueue.go
@@ -44,11 +44,9 @@
 	e := newExchange(q, attempt.Payload.(*IORequest))
 	capsule := e.capsule()
 	q.setDeadline(attempt.Deadline)
-	if !mayStart() {
-		return upstream.NoResponse(scheduler.NotSent, upstream.ReasonNotSent)
-	}
-	if n, err := q.Write(capsule); n < len(capsule) {
-		return upstream.NoResponse(scheduler.ConnectFailed, upstream.WriteErrorReason(err))
+	written, err := socket.WriteWhile(q.Conn, capsule, upstream.MayWrite(attempt, mayStart))
+	if written < len(capsule) {
+		return upstream.NotWritten(written, err)
 	}
 	finalStatus, data, err := e.run()
 	if err != nil {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -6,6 +6,7 @@
 
 import (
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -100,6 +101,47 @@
 	_ = rawConn.Control(func(fd uintptr) { sendAll(fd, []byte(message)) }) // fails on a closed connection
 }
 
+// WriteWhile writes data to a connection. Right before each part of it, as much as fits into the send buffer, it calls
+// mayWrite with the number of bytes written so far, and stops if that returns false. It returns the number of bytes written,
+// and an error if the connection is broken or its write deadline has passed. Nothing else may write to the connection
+// meanwhile.
+//
+// No call into the Go scheduler lies between mayWrite and the write, so that a busy process does not write long after the
+// check. mayWrite must not block.
+func WriteWhile(conn net.Conn, data []byte, mayWrite func(written int) bool) (written int, err error) {
+	syscallConn, ok := conn.(syscall.Conn)
+	if !ok {
+		if !mayWrite(0) {
+			return 0, nil
+		}
+		return conn.Write(data)
+	}
+	rawConn, err := syscallConn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var sendError error
+	waitError := rawConn.Write(func(fd uintptr) (done bool) {
+		for written < len(data) && mayWrite(written) {
+			n, errno := send(fd, data[written:])
+			switch errno {
+			case 0:
+				written += n
+			case syscall.EAGAIN:
+				return false // waits until more fits, and then checks again
+			default:
+				sendError = os.NewSyscallError("sendto", errno)
+				return true
+			}
+		}
+		return true
+	})
+	if sendError != nil {
+		return written, sendError
+	}
+	return written, waitError
+}
+
 // ClosedByPeer reports whether the peer has closed or reset a connection, even if bytes that it sent earlier are still
 // unread. It also returns true if the peer has closed only its write side (half-close), which looks the same on this side,
 // and if this side has closed the connection.
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -264,3 +264,58 @@
 		t.Errorf("%d bytes are unread after the shutdown, want %d", unread, len("GET"))
 	}
 }
+
+// TestWriteWhileStopsBetweenParts checks that a write which has to wait for room is checked again before it continues, and
+// that nothing is written if the first check fails.
+func TestWriteWhileStopsBetweenParts(t *testing.T) {
+	client, accepted := connPair(t)
+	if err := accepted.SetWriteDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	large := make([]byte, 16<<20) // more than fits into the buffers of both ends
+	stop := make(chan struct{})
+	checks := 0
+	parts := func(int) bool {
+		checks++
+		select {
+		case <-stop:
+			return false
+		default:
+			return true
+		}
+	}
+	time.AfterFunc(50*time.Millisecond, func() {
+		close(stop)
+		_, _ = io.CopyN(io.Discard, client, int64(len(large)/4)) // makes room
+	})
+	written, err := WriteWhile(accepted, large, parts)
+	if err != nil || written == 0 || written == len(large) || checks < 2 {
+		t.Errorf("wrote %d of %d bytes with %d checks, %v", written, len(large), checks, err)
+	}
+	if written, err := WriteWhile(accepted, large, func(int) bool { return false }); written != 0 || err != nil {
+		t.Errorf("wrote %d bytes although the check failed, %v", written, err)
+	}
+}
+
+// TestWriteWhileWritesAll checks that all data arrives, and that a broken connection is reported.
+func TestWriteWhileWritesAll(t *testing.T) {
+	client, accepted := connPair(t)
+	always := func(int) bool { return true }
+	if written, err := WriteWhile(accepted, []byte("data"), always); written != len("data") || err != nil {
+		t.Fatalf("wrote %d bytes, %v", written, err)
+	}
+	buffer := make([]byte, len("data"))
+	if _, err := io.ReadFull(client, buffer); err != nil || string(buffer) != "data" {
+		t.Errorf("read %q, %v", buffer, err)
+	}
+	if err := client.SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Close(); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the reset arrives", func() bool { return ClosedByPeer(accepted) })
+	if _, err := WriteWhile(accepted, []byte("data"), always); !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		t.Errorf("after a reset the write returned %v", err)
+	}
+}
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -8,7 +8,6 @@
 	"dapplegate/internal/dispatcher"
 	"dapplegate/internal/httpmsg"
 	"dapplegate/internal/socket"
-	"dapplegate/scheduler"
 )
 
 // HTTPDialer opens HTTP/1.1 connections, which share one memory budget for the response bodies that they read.
@@ -47,11 +46,9 @@
 	request := attempt.Payload.(*httpmsg.Request)
 	message := encodeRequest(request, c.host, time.Until(attempt.Deadline))
 	checkedAt := time.Now()
-	if !mayStart() {
-		return NoResponse(scheduler.NotSent, ReasonNotSent)
-	}
-	if n, err := c.Write(message); n < len(message) {
-		return NoResponse(scheduler.ConnectFailed, WriteErrorReason(err))
+	written, err := socket.WriteWhile(c.Conn, message, MayWrite(attempt, mayStart))
+	if written < len(message) {
+		return NotWritten(written, err)
 	}
 	writtenAt := time.Now()
 	result := c.awaitResponse(request.Method, attempt.Deadline)
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -76,7 +76,7 @@
 	ConnectionReset
 	// Cancelled attempts were ended by the initiator for its own reasons and may have been executed.
 	Cancelled
-	// NotSent attempts ended before their first byte.
+	// NotSent attempts ended before their last byte, for a reason that says nothing about the target.
 	NotSent
 )
 
