clienthttp: times that bound a request's arrival are read before the call they belong to

Cause: a read that finds nothing proves that nothing had arrived when it began. The clock was read after it, so a request that arrived while the process was held up in between counted as received only afterwards, and the kernel's answer, which is right, was cut off by that time. The same after a read that does not fill its buffer, and after net/http's end of a background read.

Change: the clock is read before the read, before the question to the kernel, and when net/http sets the deadline that ends its background read. An error is now on the safe side: the client may count as having waited longer, never shorter.

--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -64,6 +64,10 @@
 	closeDetectionLost     chan struct{}
 	closeDetectionLostOnce sync.Once
 
+	// readAbortedAt is when net/http last ended a read by a deadline in the past; nil if it never did. Written by the goroutine
+	// that serves the connection, read by the reader.
+	readAbortedAt atomic.Pointer[time.Time]
+
 	// The fields from here to unreadSince belong to the reader, and to the state hook between two reads.
 
 	// scanner has scanned the bytes that were passed to net/http.
@@ -78,6 +82,8 @@
 	// requestArrivedAt is when the last byte of the request that was passed to net/http arrived at this machine: the
 	// earliest possible time, where the exact time is not known.
 	requestArrivedAt time.Time
+	// readStartedAt is when the last read of available bytes began.
+	readStartedAt time.Time
 	// unreadSince is the earliest time at which bytes that are unread now can have arrived; zero if that is unknown.
 	unreadSince time.Time
 
--- a/internal/clienthttp/connread.go
+++ b/internal/clienthttp/connread.go
@@ -125,6 +125,7 @@
 		return c.readSocket(buffer)
 	}
 	n, err = c.Conn.Read(buffer)
+	c.readStartedAt = time.Now()
 	c.recordBytesRead(n)
 	return n, true, err
 }
@@ -136,7 +137,7 @@
 		nothingAvailable := errors.Is(err, syscall.EAGAIN)
 		if nothingAvailable {
 			waited = true
-			c.unreadSince = time.Now()
+			c.unreadSince = c.readStartedAt
 		}
 		return !nothingAvailable
 	})
@@ -145,13 +146,22 @@
 		n, err = c.readAtDeadline(buffer, waitError)
 	case waitError != nil:
 		n, err = 0, waitError
-		if waited { // net/http has ended its background read, and nothing had arrived until now
-			c.unreadSince = time.Now()
+		if abortedAt := c.readAbortedAt.Load(); waited && abortedAt != nil {
+			c.unreadSince = latest(c.unreadSince, *abortedAt) // net/http has ended its background read, which found nothing
 		}
 	}
 	return n, waited, err
 }
 
+// SetReadDeadline implements net.Conn. net/http ends its background read by a deadline in the past; the time is recorded,
+// until which the read found nothing.
+func (c *clientConn) SetReadDeadline(deadline time.Time) error {
+	if now := time.Now(); !deadline.IsZero() && deadline.Before(now) {
+		c.readAbortedAt.Store(&now)
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // estimateArrival returns when the bytes that were just read arrived. waited is whether nothing was available when the
 // read began, and bufferFull whether the read filled its buffer, so that more may be unread.
 //
@@ -159,6 +169,9 @@
 // was running meanwhile, so the request must not count as received only when it was read. The kernel tells how long ago
 // the last bytes arrived. Where it does not, or they arrived just now, a request that may have waited behind another
 // counts as received at the earliest time at which it can have arrived.
+//
+// All times are read before the call that they belong to. If the process is held up in between, a request then counts as
+// received too early by that time at the most, and never too late.
 func (c *clientConn) estimateArrival(waited, bufferFull bool) arrivalTimes {
 	now := time.Now()
 	mayHaveWaited := !waited && !c.unreadSince.IsZero()
@@ -173,7 +186,7 @@
 	if mayHaveWaited {
 		arrived.firstByteNotBefore = c.unreadSince
 	}
-	c.unreadSince = now
+	c.unreadSince = c.readStartedAt
 	if bufferFull {
 		c.unreadSince = arrived.lastByte
 	}
@@ -233,6 +246,7 @@
 	if c.state.Load() == stateClosed {
 		return 0, net.ErrClosed
 	}
+	c.readStartedAt = time.Now()
 	n, err := syscall.Read(fd, buffer)
 	for errors.Is(err, syscall.EINTR) {
 		n, err = syscall.Read(fd, buffer)
