clienthttp: a short read does not prove that nothing is left unread

Callers saw: a request that waited behind another on its connection was forwarded with up to 2.6 s more than its client had left, and answered as late.

Cause: a read that returned fewer bytes than asked for was taken for a socket that is now empty, so what was read next counted as just arrived. read(2) may return fewer bytes at any time. Behind another request only part of the request was then read ahead, and the rest counted from the end of the other request.

Change: only a read that finds nothing (EAGAIN) moves the time on, and the read ahead continues until then or until its buffer is full. TCP_INFO counts only if the kernel has filled it in: each connection has a retransmission timeout.

TestShortReadsDoNotChangeArrivalOfPipelinedRequest limits each read to 50 bytes.

--- a/internal/clienthttp/connread.go
+++ b/internal/clienthttp/connread.go
@@ -8,19 +8,11 @@
 	"os"
 	"syscall"
 	"time"
-
-	"dapplegate/internal/socket"
 )
 
 // readAheadSize is the size, in bytes, of the read that follows a background read which received the start of a request.
 const readAheadSize = 4 << 10
 
-// arrivalTimes tells when bytes that were read together arrived at this machine.
-type arrivalTimes struct {
-	lastByte           time.Time // when the last byte arrived
-	firstByteNotBefore time.Time // the earliest time at which the first byte can have arrived
-}
-
 // Read implements net.Conn. It returns bytes of one request at a time.
 func (c *clientConn) Read(buffer []byte) (int, error) {
 	n, err := c.read(buffer)
@@ -39,12 +31,13 @@
 	if n == 0 {
 		return 0, err
 	}
-	bufferFull := n == len(buffer)
+	var drainedAt time.Time
 	if c.isBackgroundRead(buffer) {
 		c.markCloseDetectionLost()
-		bufferFull = c.readAheadAvailable()
+		drainedAt = c.readAheadAvailable()
 	}
-	c.readAheadArrival = c.estimateArrival(waited, bufferFull)
+	c.readAheadArrival = c.estimateArrival(waited)
+	c.unreadSince = latest(c.unreadSince, drainedAt)
 	taken := c.deliver(buffer[:n], c.readAheadArrival, true)
 	if taken < n {
 		c.readAhead = bytes.Clone(buffer[taken:n])
@@ -99,24 +92,30 @@
 	}
 }
 
-// readAheadAvailable reads ahead the available bytes of the next request, after a background read received its first
-// byte. bufferFull is whether more may be unread.
+// readAheadAvailable reads ahead the available bytes of the next request, after a background read received its first byte. It
+// returns a time at which nothing was left unread, or the zero time if there may be more.
 //
 // The arrival time of bytes is known only until further bytes follow them. Without reading ahead, a request that waits
 // behind another would count as received later than it arrived.
-func (c *clientConn) readAheadAvailable() (bufferFull bool) {
+func (c *clientConn) readAheadAvailable() (drainedAt time.Time) {
 	if c.rawConn == nil {
-		return false
+		return time.Time{}
 	}
 	buffer := make([]byte, readAheadSize)
-	n := 0
+	length := 0
 	var err error
-	controlError := c.rawConn.Control(func(fd uintptr) { n, err = c.readAvailable(int(fd), buffer) })
-	if controlError != nil || err != nil || n == 0 {
-		return false // the next read has the same result
+	controlError := c.rawConn.Control(func(fd uintptr) {
+		for n := 0; err == nil && length < len(buffer); length += n {
+			n, err = c.readAvailable(int(fd), buffer[length:])
+		}
+	})
+	if length > 0 {
+		c.readAhead = buffer[:length]
 	}
-	c.readAhead = buffer[:n]
-	return n == len(buffer)
+	if controlError == nil && errors.Is(err, syscall.EAGAIN) {
+		drainedAt = c.readStartedAt
+	}
+	return drainedAt // the next read returns any other error again
 }
 
 // readConn reads new bytes from the connection, and waits for them if there are none. It reports whether it had to wait.
@@ -162,54 +161,6 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// estimateArrival returns when the bytes that were just read arrived. waited is whether nothing was available when the
-// read began, and bufferFull whether the read filled its buffer, so that more may be unread.
-//
-// A request may have waited in the accept queue, behind another request or for the process to run. Its client's timeout
-// was running meanwhile, so the request must not count as received only when it was read. The kernel tells how long ago
-// the last bytes arrived. Where it does not, or they arrived just now, a request that may have waited behind another
-// counts as received at the earliest time at which it can have arrived.
-//
-// All times are read before the call that they belong to. If the process is held up in between, a request then counts as
-// received too early by that time at the most, and never too late.
-func (c *clientConn) estimateArrival(waited, bufferFull bool) arrivalTimes {
-	now := time.Now()
-	mayHaveWaited := !waited && !c.unreadSince.IsZero()
-	arrived := arrivalTimes{lastByte: now, firstByteNotBefore: now}
-	if mayHaveWaited {
-		arrived.lastByte = c.unreadSince
-	}
-	if sinceLastData := c.sinceLastData(); sinceLastData > 0 {
-		arrived.lastByte = latest(c.unreadSince, now.Add(-sinceLastData))
-	}
-	arrived.firstByteNotBefore = arrived.lastByte
-	if mayHaveWaited {
-		arrived.firstByteNotBefore = c.unreadSince
-	}
-	c.unreadSince = c.readStartedAt
-	if bufferFull {
-		c.unreadSince = arrived.lastByte
-	}
-	return arrived
-}
-
-// sinceLastData returns how long ago the last bytes arrived at this machine, or 0 if they arrived just now or the time is
-// unknown.
-func (c *clientConn) sinceLastData() time.Duration {
-	if c.rawConn == nil {
-		return 0
-	}
-	elapsed, _ := socket.SinceLastData(c.rawConn)
-	return elapsed
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // readAtDeadline is called when the deadline of a read has passed. It reads the bytes that have arrived. If there are
 // none and the connection is idle, it shuts the connection down.
 //
--- a/internal/faulttest/syscall_test.go
+++ b/internal/faulttest/syscall_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -164,3 +165,25 @@
 	}
 	f.check(t)
 }
+
+// TestShortReadsDoNotChangeArrivalOfPipelinedRequest guards against a request that waits behind another and counts as just
+// received, because it was read in small parts.
+func TestShortReadsDoNotChangeArrivalOfPipelinedRequest(t *testing.T) {
+	const responseTime = 600 * time.Millisecond
+	short := syscallfault.Fault{MaxBytes: 50}
+	f := newFixtureWithFaults(t, readClass, func(*rand.Rand) Behaviour { return Behaviour{Delay: responseTime} },
+		func(call syscallfault.Call) syscallfault.Fault {
+			if call.Number != unix.SYS_READ {
+				return syscallfault.Fault{}
+			}
+			return short
+		})
+	f.client.Pipeline([]Request{
+		{ID: "r0", Class: readClass, Timeout: readClass.Deadline},
+		{ID: "r1", Class: readClass, Timeout: readClass.Deadline},
+	})
+	f.check(t)
+	if requests, served := f.history.Counts(); served != requests {
+		t.Errorf("%d of %d requests were served", served, requests)
+	}
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -171,7 +171,7 @@
 	err := rawConn.Control(func(fd uintptr) {
 		info, infoError = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err != nil || infoError != nil {
+	if err != nil || infoError != nil || info.Rto == 0 { // each connection has a retransmission timeout
 		return 0, false
 	}
 	return max(time.Duration(info.Last_data_recv)*time.Millisecond-maxClockTick, 0), true
