faulttest: half of the soak's seeds have system calls that fail, are short or are held up

Such runs have no pauses by SIGSTOP, which would add to the hold-ups.

The soak now reports a crash of any process of the run, not only of the last one.

--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -236,6 +236,24 @@
 	return p.filterLog(func(line string) bool { return strings.Contains(line, substring) })
 }
 
+// CrashReport returns the beginning of what the Go runtime wrote about a crash of the process, or "" if there was none.
+func (p *Process) CrashReport() string {
+	const maxLines = 60
+	var report strings.Builder
+	lines := 0
+	_ = p.filterLog(func(line string) bool {
+		if lines == 0 && !strings.HasPrefix(line, "panic: ") && !strings.HasPrefix(line, "fatal error: ") &&
+			!strings.HasPrefix(line, "runtime: ") {
+			return false
+		}
+		if lines++; lines <= maxLines {
+			report.WriteString(line)
+		}
+		return false
+	})
+	return report.String()
+}
+
 // RequestLog returns the lines of the process's log about one request.
 func (p *Process) RequestLog(requestID string) string {
 	field := "request=" + requestID
--- a/internal/faulttest/soak_faults_test.go
+++ b/internal/faulttest/soak_faults_test.go
@@ -72,8 +72,12 @@
 	}
 }
 
-// runPauses pauses the initiator at random times.
+// runPauses pauses the initiator at random times. It does nothing if the run has faults of system calls, which hold the
+// initiator up instead.
 func (s *soakRun) runPauses(rng *rand.Rand) {
+	if s.syscallFaults {
+		return
+	}
 	for s.wait(time.Duration(200+rng.IntN(500)) * time.Millisecond) {
 		s.signalMu.Lock()
 		process, _ := s.current()
--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -30,8 +30,9 @@
 // The random number streams of a run, which are seeded with the run's seed and the stream's number.
 const (
 	configStream       = 1
-	activityStreamBase = 10  // plus the index of the activity
-	targetStreamBase   = 100 // plus the index of the target
+	activityStreamBase = 10   // plus the index of the activity
+	targetStreamBase   = 100  // plus the index of the target
+	syscallStreamBase  = 1000 // plus the index of the process
 )
 
 // soakRun is one run of the soak test, under a mix of faults that is derived from its seed.
@@ -48,6 +49,7 @@
 	process       *Process
 	processes     []*Process // in the order in which they were started
 	client        *Client
+	syscallFaults bool          // whether system calls of the initiators fail or are held up
 	connFlood     bool          // whether the run opens more connections than the initiator may hold
 	done          chan struct{} // closed when clients stop sending requests
 	signalMu      sync.Mutex    // held during a pause, a configuration reload, and a kill with the restart after it
@@ -118,6 +120,7 @@
 	if s.connFlood = rng.IntN(3) == 0; s.connFlood {
 		s.config.Sockets = 192
 	}
+	s.syscallFaults = rng.IntN(2) == 0
 }
 
 // start starts an initiator and its client, and reports whether that succeeded. It uses the addresses of the previous
@@ -134,7 +137,7 @@
 		}
 	}
 	s.config.Discovery = s.discoveryAddr
-	process, err := Start(program, s.dir, s.config, nil)
+	process, err := Start(program, s.dir, s.config, s.drawSyscallFaults())
 	if err != nil {
 		s.t.Error(err)
 		return false
@@ -183,10 +186,16 @@
 		s.t.Errorf("%v\n%s", v, s.requestLog(v.Request))
 	}
 	if exited, err := process.Exited(); exited {
-		s.t.Errorf("the initiator exited: %v\n%s", err, process.LogLines("panic"))
+		s.t.Errorf("the initiator exited: %v", err)
+	}
+	for i, p := range s.processes {
+		if report := p.CrashReport(); report != "" {
+			s.t.Errorf("process %d crashed: %s", i, report)
+		}
 	}
 	requests, served := s.history.Counts()
-	s.t.Logf("%d requests, %d served, connection flood: %v", requests, served, s.connFlood)
+	s.t.Logf("%d requests, %d served, connection flood: %v, system call faults: %v", requests, served, s.connFlood,
+		s.syscallFaults)
 	if served < requests/minServedDivisor {
 		s.t.Errorf("too few requests were served: %d of %d", served, requests)
 	}
