faulttest: a request that arrives while an idle connection is being closed gets no response

The process is held up for 0.14 s between the check of an idle connection and its shutdown; a request that arrives meanwhile is answered by the end of the connection 0.12 s later.

--- a/internal/faulttest/syscall_test.go
+++ b/internal/faulttest/syscall_test.go
@@ -187,3 +187,51 @@
 		t.Errorf("%d of %d requests were served", served, requests)
 	}
 }
+
+// TestRequestArrivingDuringCloseOfIdleConnectionGetsResponse guards against a request that gets no response because it
+// arrived between the check of an idle connection and its shutdown, while the process was held up.
+func TestRequestArrivingDuringCloseOfIdleConnectionGetsResponse(t *testing.T) {
+	hold := syscallfault.Fault{HoldBefore: 140 * time.Millisecond}
+	for name, number := range map[string]int{"before the shutdown": unix.SYS_SHUTDOWN, "before the response": unix.SYS_SENDTO} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var ready, checked, held bool // used by the tracer alone, but for ready
+			var mu sync.Mutex
+			conn := -1 // the initiator's descriptor of the client's connection
+			holding := make(chan struct{})
+			f := newFixtureWithFaults(t, readClass, serveImmediately, func(call syscallfault.Call) syscallfault.Fault {
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case ready && isResponse(call) && conn < 0:
+					conn = call.Descriptor()
+				case conn < 0 || call.Descriptor() != conn:
+				case call.Number == unix.SYS_RECVFROM:
+					checked = true
+				case checked && !held && (call.Number == number || call.Number == unix.SYS_SHUTDOWN):
+					held = true
+					close(holding)
+					return hold
+				}
+				return syscallfault.Fault{}
+			})
+			mu.Lock()
+			ready = true
+			mu.Unlock()
+			f.client.Do(Request{ID: "r0", Class: readClass, Timeout: readClass.Deadline})
+			select {
+			case <-holding:
+			case <-time.After(2 * firstRequestTimeout):
+				t.Fatal("the idle connection was not closed")
+			}
+			time.Sleep(20 * time.Millisecond)
+			idle := f.client.takeIdle()
+			o, _ := f.client.exchange(idle, true, Request{ID: "r1", Class: readClass, Timeout: readClass.Deadline})
+			f.history.recordOutcome("r1", o)
+			if o.Status != http.StatusServiceUnavailable {
+				t.Errorf("a request that arrived before the shutdown got status %d (%s), want 503", o.Status, o.Text)
+			}
+			f.check(t)
+		})
+	}
+}
