clienthttp: a request that arrives while its idle connection is being closed gets a 503

Cause: the check for unread bytes and the shutdown are two system calls.

Change: the close of an idle connection, too, sends a 503 first, as that of a new one does, here without Retry-After since a retry may follow at once. MSG_MORE keeps the 503 back until the shutdown, so that it reaches the client together with the end of the connection and answers whatever arrived before it. A client that finds the connection closed between two requests sends its request once more, as before.

Evidence: TestRequestArrivingDuringCloseOfIdleConnectionGetsResponse, both cases.

--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -163,17 +163,22 @@
 	return nil
 }
 
-// response503 is sent before a close to a client that may otherwise get no response: see closeIfNothingUnread. No request
-// that it answers is forwarded.
-const response503 = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+// These responses are sent before a close to a client that may otherwise get no response: see closeIfNothingUnread. No
+// request that they answer is forwarded.
+const (
+	response503        = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n" + response503Rest
+	response503NoDelay = "HTTP/1.1 503 Service Unavailable\r\n" + response503Rest // a retry may follow at once
+	response503Rest    = "Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 // closeIfNothingUnread shuts the connection down and marks it closed if it is still in the observed state and nothing is
 // unread on it. The caller holds readMu, and still has to call Conn.Close.
 //
-// What the client is sent depends on what it may expect, because its next request may already be on its way:
+// What the client is sent depends on what it may expect, because its next request may already be on its way, or may arrive
+// between the check and the shutdown:
 //
-//   - After a response: nothing. A client that finds its connection closed sends its request once more, on a new
-//     connection.
+//   - After a response: response503NoDelay, which answers a request that arrives before the shutdown. A client that finds
+//     its connection closed sends its request once more, on a new connection.
 //   - On a new connection: response503. The client's first request counts as accepted, and the client does not send it
 //     again by itself.
 //   - After part of a request, or a request that no handler has claimed: response503, for the same reason.
@@ -185,7 +190,7 @@
 		return markClosed()
 	}
 	if observed == stateIdle && c.hasResponded.Load() {
-		return socket.ShutdownIfIdle(c.Conn, "", markClosed)
+		return socket.ShutdownIfIdle(c.Conn, response503NoDelay, markClosed)
 	}
 	return socket.ShutdownIfIdle(c.Conn, response503, markClosed)
 }
--- a/internal/clienthttp/server.go
+++ b/internal/clienthttp/server.go
@@ -8,7 +8,8 @@
 //   - A response that announces the close, such as that to a malformed request, ends the connection even if bytes follow
 //     its request. So does a response that could not be written.
 //   - An incomplete request that is too slow ends its connection: see the timeouts in server.go.
-//   - Bytes may arrive between the two system calls of the check and the close. The client then gets a reset.
+//   - Bytes may arrive between the system calls of the check and the close, where the process can be held up. The client
+//     then gets a 503 response: see clientConn.closeIfNothingUnread.
 //   - A shutdown closes the remaining connections at its deadline: see Server.Shutdown and stopAccepting.
 //
 // See connState for the states of a connection, and connTable for the limits on the number of connections.
@@ -39,7 +40,7 @@
 //	rest of a body               requestReadTimeout   handler     408 and close  REQUEST_READ_TIMEOUT
 //	first four bytes of a        requestClaimTimeout  connTable   503 and close  REQUEST_READ_TIMEOUT
 //	  further request
-//	first byte of a further      keepAliveTimeout     connTable   close          KEEP_ALIVE_TIMEOUT
+//	first byte of a further      keepAliveTimeout     connTable   503 and close  KEEP_ALIVE_TIMEOUT
 //	  request
 //	rest of a malformed request  bodyDiscardTimeout   handler     close after    CLOSED_BY_SERVER
 //	                                                              its response
--- a/internal/socket/rawcall.go
+++ b/internal/socket/rawcall.go
@@ -37,10 +37,11 @@
 }
 
 // send sends as much of the data as fits into the send buffer. It returns EAGAIN if nothing fits. The data is not empty.
-func send(fd uintptr, data []byte) (n int, errno syscall.Errno) {
+// flags are added to those that all calls have.
+func send(fd uintptr, data []byte, flags uintptr) (n int, errno syscall.Errno) {
 	for {
 		sent, _, errno := syscall.RawSyscall6(syscall.SYS_SENDTO, fd, uintptr(unsafe.Pointer(&data[0])), uintptr(len(data)),
-			syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, 0, 0)
+			flags|syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, 0, 0)
 		switch errno {
 		case 0:
 			return int(sent), 0
@@ -52,9 +53,9 @@
 }
 
 // sendAll repeats send until all data is sent, nothing more fits or the connection is broken.
-func sendAll(fd uintptr, data []byte) {
+func sendAll(fd uintptr, data []byte, flags uintptr) {
 	for len(data) > 0 {
-		n, errno := send(fd, data)
+		n, errno := send(fd, data, flags)
 		if errno != 0 {
 			return
 		}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -41,12 +41,12 @@
 
 // ShutdownIfIdle shuts a connection down in both directions if it is open, has no unread bytes, and confirm then returns
 // true. It reports whether it did. The caller must still close the connection. If finalMessage is not empty, as much of it
-// as fits into the send buffer is sent first: all of it, unless the client leaves its responses unread.
+// as fits into the send buffer is sent first: all of it, unless the client leaves its responses unread. The kernel keeps the
+// message back until the shutdown, so that the client gets it together with the end of the connection.
 //
-// A busy process may take long to run a goroutine again after a call into the Go scheduler. If that happened between the
-// check and the shutdown, a request could arrive in between and get no response. ShutdownIfIdle therefore uses raw system
-// calls, with no call into the Go scheduler between them. A small window remains between the two system calls: bytes that
-// arrive in it are answered by a reset, as are those that arrive after the shutdown.
+// A busy process may take long to run a goroutine again after a call into the Go scheduler, so ShutdownIfIdle makes none
+// between its system calls. The process may still be held up at each of them: bytes that arrive after the check are answered
+// by the message, and the connection is reset if they are unread when it is closed.
 func ShutdownIfIdle(conn net.Conn, finalMessage string, confirm func() bool) bool {
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
@@ -62,7 +62,7 @@
 		if peek(fd) != syscall.EAGAIN || !confirm() {
 			return
 		}
-		sendAll(fd, message)
+		sendAll(fd, message, unix.MSG_MORE)
 		_, _, _ = syscall.RawSyscall(syscall.SYS_SHUTDOWN, fd, syscall.SHUT_RDWR, 0)
 		shutDown = true
 	})
@@ -98,7 +98,7 @@
 	if err != nil {
 		return
 	}
-	_ = rawConn.Control(func(fd uintptr) { sendAll(fd, []byte(message)) }) // fails on a closed connection
+	_ = rawConn.Control(func(fd uintptr) { sendAll(fd, []byte(message), 0) }) // fails on a closed connection
 }
 
 // WriteWhile writes data to a connection. Right before each part of it, as much as fits into the send buffer, it calls
@@ -123,7 +123,7 @@
 	var sendError error
 	waitError := rawConn.Write(func(fd uintptr) (done bool) {
 		for written < len(data) && mayWrite(written) {
-			n, errno := send(fd, data[written:])
+			n, errno := send(fd, data[written:], 0)
 			switch errno {
 			case 0:
 				written += n
