--- a/internal/syscallfault/process_linux_amd64.go
+++ b/internal/syscallfault/process_linux_amd64.go
@@ -17,7 +17,7 @@
 const (
 	syscallStop      = syscall.SIGTRAP | 0x80 // with PTRACE_O_TRACESYSGOOD
 	noSyscall        = ^uint64(0)             // as the number of a call: the kernel makes none
-	traceOptions     = unix.PTRACE_O_TRACESYSGOOD | unix.PTRACE_O_TRACECLONE
+	traceOptions     = unix.PTRACE_O_TRACESYSGOOD | unix.PTRACE_O_TRACECLONE | unix.PTRACE_O_EXITKILL
 	waitOptions      = unix.WALL | unix.WNOTHREAD // of this thread's tracees
 	statusEventShift = 16
 )
