clienthttp: a failure to poll an accepted connection (ENOSPC) does not end the server

Callers would see: the initiator shuts down when epoll_ctl answers ENOSPC for an accepted connection, because the Go runtime returns that error from Accept and it counted as a permanent error of the listener.

Change: ENOSPC is on the list of transient errors. The connection itself is closed by the runtime; its client connects again. TestTransientAcceptErrors now tries all errors of the list (16 of 19 before) and failed for ENOSPC before the change, by its list.

--- a/internal/clienthttp/accept.go
+++ b/internal/clienthttp/accept.go
@@ -20,11 +20,11 @@
 )
 
 // transientAcceptErrors are the errors of accept that pass by themselves, as accept(2) documents them: errors of the
-// network or of the connection that would have been accepted, and lack of resources. All others are permanent errors of
-// the listener.
+// network or of the connection that would have been accepted, and lack of resources, also for polling the connection
+// (epoll_ctl(2)). All others are permanent errors of the listener.
 var transientAcceptErrors = []syscall.Errno{
 	syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR, syscall.EAGAIN, syscall.ETIMEDOUT, syscall.EPERM,
-	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSR,
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC, syscall.ENOSR,
 	syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.EHOSTDOWN, syscall.ENONET,
 	syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTUNREACH,
 }
--- a/internal/clienthttp/accept_test.go
+++ b/internal/clienthttp/accept_test.go
@@ -41,9 +41,10 @@
 func TestTransientAcceptErrors(t *testing.T) {
 	l := listen(t)
 	failing := &failingListener{Listener: l, errnos: []syscall.Errno{
-		syscall.ECONNABORTED, syscall.EINTR, syscall.EMFILE, syscall.ENFILE,
-		syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.ENOPROTOOPT, syscall.EHOSTDOWN,
-		syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT,
+		syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR, syscall.EAGAIN, syscall.EMFILE, syscall.ENFILE,
+		syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC, syscall.ENOSR, syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN,
+		syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH,
+		syscall.ETIMEDOUT,
 	}}
 	d := newFakeDispatcher()
 	s := newTestServer(d, maxTestConns)
