upstream: a dial that fails on this machine is repeated, not attributed to the target

Callers saw in the soak with faults of system calls: 'attempt ended reason=CONNECT_FAILED latency=0.3ms' for a healthy target because socket answered ENFILE. Three of these make a target an outlier, which gets one attempt at a time, so that requests for it wait or are rejected.

Cause: EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL and ENETUNREACH pass by themselves and say nothing about the target, but a dial that failed with them ended the attempt as ConnectFailed.

Change: such a dial is repeated with a jittered backoff from 2 to 50 ms, within the time that the attempt waits for its connection. The first of several failures in a row is logged. Dialing is in dial.go.

Evidence: TestLocalDialErrorIsNotAttributedToTarget: CONNECT_FAILED before, SUCCEEDED after.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -10,9 +10,6 @@
 	"dapplegate/scheduler"
 )
 
-// backgroundDialFactor times Options.DialTimeout is how long a dial may take in total if it goes on in the background.
-const backgroundDialFactor = 8
-
 // lateWriteThreshold is how long the last check and the write of an attempt may take together before that is logged.
 const lateWriteThreshold = 20 * time.Millisecond
 
@@ -119,54 +116,6 @@
 	return false
 }
 
-// dial opens a connection for the attempt. It returns nil if the dial fails, takes longer than Options.DialTimeout, or is
-// not done when the context is. A dial that the attempt stops waiting for goes on in the background, since another one might
-// take as long, and a later attempt finds its connection in the pool. There is at most one background dial per target; any
-// further dial is aborted.
-func (t *target) dial(ctx context.Context, a *inFlightAttempt) *pooledConn {
-	dialCtx, stopDial := context.WithTimeout(context.Background(), backgroundDialFactor*t.options.DialTimeout)
-	dialed := t.startDial(dialCtx)
-	timer := time.NewTimer(t.options.DialTimeout)
-	defer timer.Stop()
-	select {
-	case c := <-dialed:
-		stopDial()
-		return c
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	t.log.gaveUpWaiting(a.ClientRequestID)
-	a.leftBackgroundDial = t.backgroundDialActive.CompareAndSwap(false, true)
-	if !a.leftBackgroundDial {
-		stopDial()
-		if c := <-dialed; c != nil {
-			c.closeIgnoringError()
-		}
-		return nil
-	}
-	go func() {
-		defer stopDial()
-		t.mailbox.Put(backgroundDialEnded{conn: <-dialed})
-	}()
-	return nil
-}
-
-// startDial dials the target. The channel receives the connection, or nil if the dial failed.
-func (t *target) startDial(ctx context.Context) <-chan *pooledConn {
-	dialed := make(chan *pooledConn, 1)
-	go func() {
-		address := t.address()
-		conn, err := t.options.Dialer.Dial(ctx, address)
-		if err != nil {
-			t.log.dialFailed(address, err)
-			dialed <- nil
-			return
-		}
-		dialed <- &pooledConn{Conn: conn, address: address}
-	}()
-	return dialed
-}
-
 // exchange sends the attempt on a connection and waits for the result. If the attempt has already been cancelled, its
 // deadline has passed or its client has closed, nothing is sent, and the connection stays usable.
 func (t *target) exchange(ctx context.Context, a *inFlightAttempt, c *pooledConn) RoundTripResult {
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -5,8 +5,10 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -276,3 +278,33 @@
 		t.Errorf("log is %q, want a failed connection with its cause and no ended connection", got)
 	}
 }
+
+// failingDialer fails with each of its errors in turn before it dials.
+type failingDialer struct {
+	HTTPDialer
+	errnos chan syscall.Errno
+}
+
+func (d failingDialer) Dial(ctx context.Context, addr string) (Conn, error) {
+	select {
+	case errno := <-d.errnos:
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", errno)}
+	default:
+		return d.HTTPDialer.Dial(ctx, addr)
+	}
+}
+
+// TestLocalDialErrorIsNotAttributedToTarget guards against a healthy target that becomes an outlier because this machine lacks
+// descriptors, memory, ports or a route for a moment.
+func TestLocalDialErrorIsNotAttributedToTarget(t *testing.T) {
+	server := newFakeTarget(t, respondOK)
+	dialer := failingDialer{NewHTTPDialer(0), make(chan syscall.Errno, len(localDialErrors))}
+	for _, errno := range localDialErrors {
+		dialer.errnos <- errno
+	}
+	registry := newTestRegistryWith(dialer, testTimeout, server.Addr().String())
+	registry.send(time.Minute)
+	if result := registry.result(t); result.Status != scheduler.Succeeded {
+		t.Errorf("got status %v, want SUCCEEDED", result.Status)
+	}
+}
