faulttest: two faults that keep an initiator from serving do not follow each other at once

Trace: 'request was read late unread_for=550ms accepted_ago=2.2ms accept_took=11us': it waited in the accept queue for 0.548 s and was answered within 8 ms of its accept.

The bound and the size of the faults stay. Pauses and times without descriptors now begin 0.1 s after the end of the one before, so that what has waited can be answered in between.

--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -55,6 +55,8 @@
 	connFlood     bool          // whether the run opens more connections than the initiator may hold
 	done          chan struct{} // closed when clients stop sending requests
 	signalMu      sync.Mutex    // held during a pause, a configuration reload, and a kill with the restart after it
+	faultMu       sync.Mutex    // held during a fault of runAlone, protects lastFaultEnd
+	lastFaultEnd  time.Time     // of runAlone
 	mu            sync.Mutex    // protects process, client, processes, targets and targetOfShard
 	targets       []*Target
 	targetOfShard [soakShards]int // by shard: index in targets of the target that serves it
