review: a second copy of an answer, 12 ms late, goes to another request's client

Cause: the quarantine of a target's connection is 10 ms from the receipt of an answer. It leaves no time for the way there and back, during which the target may still send a second copy.

Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 // cases are the cases by name. Each reports whether the rule was broken, or an error if it could not run.
 var cases = map[string]func(rec *record, root string, trouble bool) (broken bool, err error){
 	"repeat-window": runRepeatWindow,
+	"late-copy":     runLateCopy,
 }
 
 // main runs `standin target …`, or `standin CASE ROOT FOLDER`, which writes record.txt into the folder.
