--- a/review/standin/latecopy.go
+++ b/review/standin/latecopy.go
@@ -17,11 +17,12 @@
 
 // The settings and the disruption of the case.
 const (
-	copyAfter    = 12 * time.Millisecond   // "a second answer may come some milliseconds late"
-	copyAtLatest = 13 * time.Millisecond   // a copy that would be later than this, because the machine is busy, is not sent
+	copyAfter    = 5 * time.Millisecond    // "a second answer may come some milliseconds late"
+	copyAtLatest = 6 * time.Millisecond    // a copy that would be later than this, because the machine is busy, is not sent
 	copyShare    = 0.2                     // share of the answers that are sent twice
-	oneWayDelay  = 2500 * time.Microsecond // of the network, on the lower end of "2.3 to 34 ms"
-	requestRate  = 200                     // "at most 200 requests a second"
+	minDelay     = 2300 * time.Microsecond // of the network, one way: "2.3 to 34 ms"
+	maxDelay     = 34 * time.Millisecond
+	requestRate  = 200 // "at most 200 requests a second"
 	requestsFor  = 20 * time.Second
 	copyTargets  = 10
 	readTimeout  = 1200 * time.Millisecond
@@ -37,7 +38,7 @@
 		if err != nil {
 			return false, err
 		}
-		link, err := startLink(address, oneWayDelay)
+		link, err := startLink(address)
 		if err != nil {
 			return false, err
 		}
@@ -125,8 +126,8 @@
 	return listener.Addr().String(), nil
 }
 
-// startLink starts a proxy that passes bytes on after a constant delay, in both directions.
-func startLink(address string, delay time.Duration) (string, error) {
+// startLink starts a proxy that passes bytes on after a delay, in both directions.
+func startLink(address string) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -142,15 +143,15 @@
 				near.Close()
 				continue
 			}
-			go passOn(near, far, delay)
-			go passOn(far, near, delay)
+			go passOn(near, far)
+			go passOn(far, near)
 		}
 	}()
 	return listener.Addr().String(), nil
 }
 
-// passOn passes bytes on, each after the delay, and the end of the connection after them.
-func passOn(from, to net.Conn, delay time.Duration) {
+// passOn passes bytes on in their order, each part after a delay of its own, and the end of the connection after them.
+func passOn(from, to net.Conn) {
 	type part struct {
 		due  time.Time
 		data []byte
@@ -162,6 +163,7 @@
 			buffer := make([]byte, 32<<10)
 			n, err := from.Read(buffer)
 			if n > 0 {
+				delay := minDelay + rand.N(maxDelay-minDelay)
 				parts <- part{time.Now().Add(delay), buffer[:n]}
 			}
 			if err != nil {
@@ -175,7 +177,6 @@
 			break
 		}
 	}
-	time.Sleep(delay)
 	to.Close()
 	from.Close()
 }
