review: refused requests are held until their deadline and exceed the memory limit

Cause: the scheduler keeps each request that it gives up until the deadline of its class, without a bound on their number or size. Bad clients that send a refused request again at full speed fill the memory with them.

Nothing is fixed.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -14,13 +14,14 @@
 	id, class string
 	timeout   time.Duration
 	shard     int
+	folders   string // between the class and the key in the path, each with a slash behind it; may be empty
 	body      string // empty: a read
 }
 
 func (r clientRequest) encode() string {
 	head := func(method string) string {
-		return fmt.Sprintf("%s /%s/%016x HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: %s\r\nTier: std\r\nRequest-Timeout-Ms: %d\r\n"+
-			"IO-Info: volume=00000003b4d60021,units=2,shard=%d,hosts=1\r\n", method, r.class, 0x7f3a9c21e0b4d600+r.shard, r.id,
+		return fmt.Sprintf("%s /%s/%s%016x HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: %s\r\nTier: std\r\nRequest-Timeout-Ms: %d\r\n"+
+			"IO-Info: volume=00000003b4d60021,units=2,shard=%d,hosts=1\r\n", method, r.class, r.folders, 0x7f3a9c21e0b4d600+r.shard, r.id,
 			r.timeout.Milliseconds(), r.shard)
 	}
 	if r.body == "" {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,7 @@
 var cases = map[string]func(rec *record, root string, trouble bool) (broken bool, err error){
 	"repeat-window": runRepeatWindow,
 	"late-copy":     runLateCopy,
-	"many-writes":   runManyWrites,
+	"refused-again": runRefusedAgain,
 }
 
 // main runs `standin target …`, or `standin CASE ROOT FOLDER`, which writes record.txt into the folder.
--- a/review/standin/manywrites.go
+++ b/review/standin/refusedagain.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -8,17 +9,19 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
 // The settings and the disruption of the case.
 const (
-	memoryLimitMB   = 32   // limits.memory_mb: "32 to 192 MB"
-	socketLimit     = 1024 // limits.sockets: "256 to 1,024 descriptors"
-	wholeRequests   = 300  // "hundreds of requests at once"; with the usual ones, under a third of the descriptors
-	halfRequests    = 140  // "half a request and then a close"
-	largestBody     = 64 << 10
+	memoryLimitMB   = 64                    // limits.memory_mb: "32 to 192 MB"
+	socketLimit     = 512                   // limits.sockets: "256 to 1,024 descriptors"
+	badClients      = 100                   // "hundreds of requests at once, or the same request again as soon as it is turned away"
+	badClientsLast  = 20 * time.Second      // how long the bad clients go on
+	shortTimeout    = 20 * time.Millisecond // "requests with very little time left"
+	pathLength      = 2000                  // bytes of the path of a bad client's request; the pages set no limit
 	usualInterval   = 50 * time.Millisecond // between two requests of the usual clients
 	memoryGrace     = 20 * time.Millisecond // how long the initiator may be over its limit here; the page grants nothing
 	memoryCheck     = 5 * time.Millisecond  // how often the platform looks at the initiator's memory
@@ -26,9 +29,9 @@
 	numberOfTargets = 12
 )
 
-// runManyWrites sends usual requests and, with trouble, hundreds of writes of the largest size at once. The initiator must
-// stay under its memory limit.
-func runManyWrites(rec *record, root string, trouble bool) (broken bool, err error) {
+// runRefusedAgain sends usual requests and, with trouble, the same requests again and again from bad clients. The initiator
+// must stay under its memory limit.
+func runRefusedAgain(rec *record, root string, trouble bool) (broken bool, err error) {
 	var list []endpoint
 	for i := range numberOfTargets {
 		address, err := startQuietTarget()
@@ -43,53 +46,39 @@
 	}
 	p, err := startInitiator(rec, root, discovery, settings{memoryMB: memoryLimitMB, sockets: socketLimit, classes: []class{
 		{Name: "file-read", PromiseUs: 200_000, DeadlineUs: 1_200_000, Effect: "pure", Worth: 2},
-		{Name: "file-write", PromiseUs: 300_000, DeadlineUs: 2_000_000, Effect: "pure", Worth: 2}}})
+		{Name: "bulk-export", PromiseUs: 1_500_000, DeadlineUs: 5_000_000, Effect: "pure", Worth: 1}}})
 	if err != nil {
 		return false, err
 	}
 	defer p.stop()
-	killed := make(chan bool, 1)
 	stop := make(chan struct{})
-	go func() { killed <- watchMemory(rec, p, memoryLimitMB<<10, stop) }()
-	var usual, bad tally
+	killed := make(chan bool, 1)
+	go func() {
+		killed <- watchMemory(rec, p, memoryLimitMB<<10, stop)
+	}()
+	var usual tally
+	var badAnswers atomic.Int64
 	var clients sync.WaitGroup
-	clients.Go(func() { sendUsualRequests(rec, p.listen, &usual) })
+	clients.Go(func() { sendUsualRequests(rec, p, stop, &usual) })
 	time.Sleep(time.Second)
 	if trouble {
-		rec.printf("bad clients send %d writes of %d bytes and %d halves of such writes at once", wholeRequests, largestBody, halfRequests)
-		for i := range wholeRequests + halfRequests {
-			r := clientRequest{id: fmt.Sprintf("bad-%d", i), class: "file-write", timeout: 2 * time.Second, shard: i % numberOfTargets,
-				body: strings.Repeat("x", largestBody)}
-			clients.Go(func() {
-				if i >= halfRequests {
-					bad.add(r.send(p.listen))
-				} else {
-					sendHalf(p.listen, r)
-				}
-			})
+		rec.printf("%d bad clients begin", badClients)
+		for i := range badClients {
+			clients.Go(func() { repeatRefused(p.listen, i, stop, &badAnswers) })
 		}
 	}
-	clients.Wait()
+	select {
+	case <-p.exited:
+	case <-time.After(badClientsLast):
+	}
 	close(stop)
 	broken = <-killed
+	clients.Wait()
 	rec.printf("answers of the usual clients by status, 0 for none: %v", usual.byStatus)
-	rec.printf("answers of the bad clients by status, 0 for none: %v", bad.byStatus)
+	rec.printf("bad clients were turned away %d times", badAnswers.Load())
 	return broken, nil
 }
 
-// sendHalf sends all of a request but its last byte, and closes the connection 1.5 s later.
-func sendHalf(address string, r clientRequest) {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	message := r.encode()
-	if _, err := io.WriteString(conn, message[:len(message)-1]); err == nil {
-		time.Sleep(1500 * time.Millisecond)
-	}
-}
-
 // startQuietTarget starts a target that serves each request after its work.
 func startQuietTarget() (address string, err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -138,15 +127,59 @@
 	}
 }
 
-// sendUsualRequests sends reads of usual clients for some seconds and waits for their answers.
-func sendUsualRequests(rec *record, address string, usual *tally) {
+// repeatRefused is a bad client. It sends a request with little time left and, as soon as it is turned away, the same request
+// again under a fresh id.
+func repeatRefused(address string, client int, stop <-chan struct{}, answers *atomic.Int64) {
+	folders := strings.Repeat("boards-2026/", pathLength/len("boards-2026/"))
+	for attempt := 0; !isClosed(stop); {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		reader := bufio.NewReader(conn)
+		for !isClosed(stop) {
+			attempt++
+			r := clientRequest{id: fmt.Sprintf("bad-%d-%d", client, attempt), class: "bulk-export", timeout: shortTimeout,
+				folders: folders, shard: client % numberOfTargets}
+			_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+			if _, err := io.WriteString(conn, r.encode()); err != nil {
+				break
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				break
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+				break
+			}
+			if response.StatusCode == http.StatusServiceUnavailable {
+				answers.Add(1)
+			}
+		}
+		conn.Close()
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// sendUsualRequests sends reads of usual clients until stop is closed, and waits for their answers. It records those that get
+// none because the initiator was killed.
+func sendUsualRequests(rec *record, p *platform, stop <-chan struct{}, usual *tally) {
 	var open sync.WaitGroup
 	defer open.Wait()
-	for i := range int(5 * time.Second / usualInterval) {
+	for i := 0; !isClosed(stop) && !p.hasExited(); i++ {
 		open.Go(func() {
 			r := clientRequest{id: fmt.Sprintf("usual-%d", i), class: "file-read", timeout: 1200 * time.Millisecond,
 				shard: i % numberOfTargets}
-			a := r.send(address)
+			a := r.send(p.listen)
 			usual.add(a)
 			if a.status == 0 {
 				rec.printf("usual client of %s got %v", r.id, a)
