initiator: log memory use and table sizes while the use is high

Cause: nothing in the logs says what fills an initiator's memory before the platform kills it.

Change: from half of the granted memory on, a line each second with the runtime's own figures (live heap, stacks, goroutines) and one with the entries of each table of the dispatcher and the scheduler.

No other behaviour changes.

--- a/cmd/initiator/initiator.go
+++ b/cmd/initiator/initiator.go
@@ -161,6 +161,7 @@
 	go in.dispatcher.Run(background)
 	go in.watcher.Run(background)
 	go in.followDiscovery(background, options.discoveryAddrs)
+	go in.watchMemory(background)
 
 	listeners, err := in.listen(ctx, options.shareAddresses)
 	if err != nil {
--- a/internal/dispatcher/messages.go
+++ b/internal/dispatcher/messages.go
@@ -16,13 +16,16 @@
 	attemptEnded      struct{ result AttemptResult }
 	endpointsUpdated  struct{ list scheduler.EndpointList }
 	shutdownRequested struct{ deadline time.Time }
+	// tableSizesRequested asks for the log line of LogTableSizes.
+	tableSizesRequested struct{}
 )
 
-func (callSubmitted) message()     {}
-func (callCancelled) message()     {}
-func (attemptEnded) message()      {}
-func (endpointsUpdated) message()  {}
-func (shutdownRequested) message() {}
+func (callSubmitted) message()       {}
+func (callCancelled) message()       {}
+func (attemptEnded) message()        {}
+func (endpointsUpdated) message()    {}
+func (shutdownRequested) message()   {}
+func (tableSizesRequested) message() {}
 
 // applyMessages applies a batch of messages to the calls and returns the resulting scheduler events, including the timer if
 // it is due. The returned slice is valid until the next call.
@@ -45,6 +48,8 @@
 			d.endpointEvents = append(d.endpointEvents, m.list)
 		case shutdownRequested:
 			d.beginShutdown(now, m.deadline)
+		case tableSizesRequested:
+			d.logTableSizes(len(messages))
 		}
 	}
 	if !d.nextTimer.IsZero() && !now.Before(d.nextTimer) {
--- a/internal/dispatcher/requestids.go
+++ b/internal/dispatcher/requestids.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// len returns the number of reserved IDs.
+func (r *clientRequestIDs) len() int { return len(r.open) + len(r.executed) + len(r.prevExecuted) }
+
 // expire frees the IDs whose lifetime has ended.
 func (r *clientRequestIDs) expire(now time.Time) {
 	sinceRotation := now.Sub(r.lastRotation)
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -26,6 +26,7 @@
 //
 //   - settings.go, events.go, actions.go: the interface
 //   - scheduler.go, timer.go, sweep.go: a step, the time of the next step, the removal of idle state
+//   - tablesizes.go: how many entries the tables have
 //   - arrival.go, attempts.go, completion.go, givenup.go: the life cycle of a request
 //   - request.go, giveupheap.go, queue.go, volume.go, target.go: data structures
 //   - admission.go: when an attempt may start, by the rules in ordering.go, ratelimit.go, slowstart.go,
--- a/scheduler/givenup.go
+++ b/scheduler/givenup.go
@@ -13,6 +13,9 @@
 	return givenUpRequests{byKey: map[clientRetryKey]*request{}}
 }
 
+// len returns the number of requests that are kept.
+func (g *givenUpRequests) len() int { return len(g.inOrder) }
+
 // find returns the given-up request of which r may be a client retry, or nil.
 func (g *givenUpRequests) find(r *request) *request { return g.byKey[r.clientRetryKey()] }
 
