scheduler: a given-up request leaves memory when its client retry takes its place

Cause: givenUpRequests had a map by key and a list by arrival. A client retry removed the given-up request from the map alone, and so did a request with the same key that was given up later. The list kept every one of them until the deadline of its class.

Change: the list is linked, an entry leaves it together with its key, and it holds the key and two times instead of the request.

Why this works: there is one entry per key, so that repeats of one request cannot make the table grow.

The tests of the table compare times instead of pointers and count both parts, as strictly.

--- a/internal/faulttest/config_test.go
+++ b/internal/faulttest/config_test.go
@@ -25,9 +25,14 @@
 	Discovery string
 	Classes   []Class
 	Cores     float64
-	Sockets   int // limit on open file descriptors
+	Sockets   int    // limit on open file descriptors
+	MemoryMiB int    // memory limit; 0: defaultMemoryMiB
+	LogLevel  string // "" for debug
 }
 
+// defaultMemoryMiB is the memory limit of tests that are not about memory.
+const defaultMemoryMiB = 128
+
 // MaxDeadline returns the longest deadline of all classes.
 func (c Config) MaxDeadline() time.Duration {
 	longest := time.Duration(0)
@@ -53,9 +58,13 @@
 		classes = append(classes, map[string]any{"name": class.Name, "promiseUs": class.Deadline.Microseconds() / 2,
 			"deadlineUs": class.Deadline.Microseconds(), "effect": effect, "worth": 2})
 	}
+	memoryMiB := c.MemoryMiB
+	if memoryMiB == 0 {
+		memoryMiB = defaultMemoryMiB
+	}
 	raw, err := json.Marshal(map[string]any{
 		"name": "n1", "listen": c.Listen, "discovery": c.Discovery, "seed": "1",
-		"limits": map[string]any{"cores": c.Cores, "memory_mb": 128, "sockets": c.Sockets},
+		"limits": map[string]any{"cores": c.Cores, "memory_mb": memoryMiB, "sockets": c.Sockets},
 		"settings": map[string]any{"peersTotal": 1, "tickUs": 2000, "classes": classes,
 			"contracts": []map[string]any{{"name": "std", "usualRate": 1000, "reservation": 1000, "parts": 1, "pays": 1}},
 			"extra":     map[string]any{"meanUnits": 1, "largest": 6, "coldBears": 100},
--- /dev/null
+++ b/internal/faulttest/flood_test.go
@@ -0,0 +1,166 @@
+package faulttest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	// floodDuration is how long the bad clients of a flood send requests.
+	floodDuration = 6 * time.Second
+	// floodResponseTimeout limits how long a bad client waits for a response before it opens another connection.
+	floodResponseTimeout = 2 * time.Second
+	// floodRedialDelay is how long a bad client waits after a connection that could not be opened.
+	floodRedialDelay = 10 * time.Millisecond
+	// floodUsualInterval is the time between two requests of the usual clients beside a flood.
+	floodUsualInterval = 50 * time.Millisecond
+	// floodTargetDelay is how long the target takes for a request.
+	floodTargetDelay = 30 * time.Millisecond
+	// memoryCheckInterval is how often an initiator's memory is compared with its limit.
+	memoryCheckInterval = 5 * time.Millisecond
+	// hopelessTimeout is a client's timeout that is too short for the target, so that the request is refused.
+	hopelessTimeout = 20 * time.Millisecond
+	// longPathBytes and longHeaderBytes are the lengths of long parts of a request's head. Both fit into a head.
+	longPathBytes   = 3600
+	longHeaderBytes = 6000
+)
+
+// longDeadlineClass is a class whose clients wait long, so that an initiator may have to remember their requests for long.
+var longDeadlineClass = Class{Name: "export", Deadline: 5 * time.Second}
+
+// flood is a kind of traffic with which bad clients could make an initiator's memory grow. The bad clients send at full speed
+// and read each response.
+type flood struct {
+	clients   int
+	memoryMiB int
+	sockets   int
+	// request returns the n-th request of a bad client.
+	request func(client, n int) string
+	// behaviour draws what the target does with a request; nil: it serves the request after floodTargetDelay.
+	behaviour func(*rand.Rand) Behaviour
+}
+
+// floodRequest returns a read of longDeadlineClass with little time left, of a volume and an extent, with padding in the path
+// and in the IO-Info header.
+func floodRequest(client, n, volume, extent, pathPadding, headerPadding int) string {
+	return fmt.Sprintf("GET /%s/%s/%016x HTTP/1.1\r\nHost: a\r\nRequest-Id: bad-%d-%d\r\nTier: std\r\nRequest-Timeout-Ms: %d\r\n"+
+		"IO-Info: volume=%016x,units=1,shard=0,hosts=1,note=%s\r\n\r\n", longDeadlineClass.Name, strings.Repeat("p", pathPadding),
+		extent, client, n, hopelessTimeout.Milliseconds(), volume, strings.Repeat("h", headerPadding))
+}
+
+// run starts an initiator, floods it beside usual clients, and checks that it stays within its memory limit and gives each
+// usual request its response.
+func (f flood) run(t *testing.T) {
+	t.Helper()
+	behaviour := f.behaviour
+	if behaviour == nil {
+		behaviour = func(*rand.Rand) Behaviour { return Behaviour{Delay: floodTargetDelay} }
+	}
+	fixture := newFixtureWithConfig(t, Config{Classes: []Class{readClass, longDeadlineClass}, Cores: 1, Sockets: f.sockets,
+		MemoryMiB: f.memoryMiB, LogLevel: "info"}, behaviour, nil)
+	done := make(chan struct{})
+	var running sync.WaitGroup
+	var responses atomic.Int64
+	running.Go(func() { fixture.sendUsualRequests(done) })
+	for client := range f.clients {
+		running.Go(func() { f.runBadClient(fixture.client.Addr, client, done, &responses) })
+	}
+	peakKiB := fixture.watchMemory(f.memoryMiB<<10, floodDuration)
+	close(done)
+	running.Wait()
+	requests, served := fixture.history.Counts()
+	t.Logf("most memory %d of %d KiB; %d responses to bad clients; requests of usual clients and attempts: %d, served: %d",
+		peakKiB, f.memoryMiB<<10, responses.Load(), requests, served)
+	if peakKiB > f.memoryMiB<<10 {
+		t.Errorf("the initiator's memory reached %d KiB, the limit is %d KiB\n%s%s", peakKiB, f.memoryMiB<<10,
+			fixture.process.LogLines("memory use is high"), fixture.process.LogLines("table sizes"))
+	}
+	fixture.check(t)
+}
+
+// watchMemory returns the highest memory of the initiator, in KiB, within the duration. It returns early if that exceeds the
+// limit.
+func (f *fixture) watchMemory(limitKiB int, duration time.Duration) (peakKiB int) {
+	for end := time.Now().Add(duration); time.Now().Before(end) && peakKiB <= limitKiB; time.Sleep(memoryCheckInterval) {
+		peakKiB = max(peakKiB, f.process.MemoryKiB())
+	}
+	return peakKiB
+}
+
+// sendUsualRequests sends requests of usual clients until done is closed, and waits for their responses.
+func (f *fixture) sendUsualRequests(done <-chan struct{}) {
+	var inFlight sync.WaitGroup
+	defer inFlight.Wait()
+	ticker := time.NewTicker(floodUsualInterval)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+		inFlight.Go(func() {
+			f.client.Do(Request{ID: fmt.Sprintf("usual-%d", i), Class: readClass, Timeout: readClass.Deadline})
+		})
+	}
+}
+
+// runBadClient sends the requests of one bad client until done is closed, and counts the responses.
+func (f flood) runBadClient(addr string, client int, done <-chan struct{}, responses *atomic.Int64) {
+	for n := 0; ; {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+		if err != nil {
+			time.Sleep(floodRedialDelay)
+			continue
+		}
+		reader := bufio.NewReader(conn)
+		for f.exchange(conn, reader, f.request(client, n), done) {
+			n++
+			responses.Add(1)
+		}
+		n++
+		_ = conn.Close() // the requests of a bad client are not checked
+	}
+}
+
+// exchange sends a request of a bad client and reads the response. It reports whether the connection can be used again.
+func (f flood) exchange(conn net.Conn, reader *bufio.Reader, request string, done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return false
+	default:
+	}
+	if conn.SetDeadline(time.Now().Add(floodResponseTimeout)) != nil {
+		return false
+	}
+	if _, err := io.WriteString(conn, request); err != nil {
+		return false
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && !response.Close
+}
+
+// TestRefusedRequestsSentAgainStayWithinMemory guards against refused requests that are remembered once for each repeat.
+func TestRefusedRequestsSentAgainStayWithinMemory(t *testing.T) {
+	flood{clients: 100, memoryMiB: 64, sockets: 512, request: func(client, n int) string {
+		return floodRequest(client, n, client, client, longPathBytes, 0)
+	}}.run(t)
+}
--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -67,7 +68,11 @@
 	if err := p.WriteConfig(config); err != nil {
 		return nil, err
 	}
-	arguments := []string{"serve", "--log-level", "debug"}
+	logLevel := config.LogLevel
+	if logLevel == "" {
+		logLevel = "debug"
+	}
+	arguments := []string{"serve", "--log-level", logLevel}
 	environment := append(os.Environ(), "PROXY_CONFIG="+p.configPath, "PROXY_NAME=", "PROXY_LISTEN=", "PROXY_DISCOVERY=")
 	var err error
 	if faults != nil {
@@ -187,6 +192,24 @@
 	return strings.HasPrefix(strings.ToUpper(state), "T")
 }
 
+// MemoryKiB returns the memory of the process that counts against its limit, in KiB: all that no file backs. It returns 0 if
+// the process has exited.
+func (p *Process) MemoryKiB() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid))
+	if err != nil {
+		return 0
+	}
+	total := 0
+	for line := range strings.Lines(string(status)) {
+		fields := strings.Fields(line)
+		if len(fields) == 3 && (fields[0] == "RssAnon:" || fields[0] == "RssShmem:") {
+			kib, _ := strconv.Atoi(fields[1]) // 0 if the kernel's format is not as documented
+			total += kib
+		}
+	}
+	return total
+}
+
 // Kill sends SIGKILL and waits until the process has exited.
 func (p *Process) Kill() {
 	p.Signal(syscall.SIGKILL)
--- a/internal/faulttest/regression_test.go
+++ b/internal/faulttest/regression_test.go
@@ -70,6 +70,12 @@
 // newFixtureWithFaults is like newFixtureWithClass, and also injects the faults that decide returns into the initiator's
 // system calls, unless decide is nil.
 func newFixtureWithFaults(t *testing.T, class Class, drawBehaviour func(*rand.Rand) Behaviour, decide faultFunc) *fixture {
+	t.Helper()
+	return newFixtureWithConfig(t, Config{Classes: []Class{class}, Cores: 1, Sockets: 512}, drawBehaviour, decide)
+}
+
+// newFixtureWithConfig is like newFixtureWithFaults, but with the given configuration, whose addresses it sets.
+func newFixtureWithConfig(t *testing.T, config Config, drawBehaviour func(*rand.Rand) Behaviour, decide faultFunc) *fixture {
 	t.Helper()
 	f := &fixture{delays: NewDelayMonitor()}
 	t.Cleanup(f.delays.Stop)
@@ -90,14 +96,14 @@
 	if decide != nil {
 		faults = decide
 	}
-	listen := NewListenAddress()
-	f.process, err = Start(program, t.TempDir(), Config{Listen: listen, Discovery: discoveryAddr, Classes: []Class{class},
-		Cores: 1, Sockets: 512}, faults)
+	config.Listen = NewListenAddress()
+	config.Discovery = discoveryAddr
+	f.process, err = Start(program, t.TempDir(), config, faults)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(f.process.Kill)
-	f.client = NewClient(listen, f.history)
+	f.client = NewClient(config.Listen, f.history)
 	t.Cleanup(f.client.Close)
 	return f
 }
--- a/scheduler/givenup.go
+++ b/scheduler/givenup.go
@@ -1,39 +1,68 @@
 package scheduler
 
-import "time"
+import (
+	"container/list"
+	"time"
+)
+
+// givenUpRequest is what is kept of a request that was given up.
+type givenUpRequest struct {
+	key          clientRetryKey
+	firstArrival time.Duration // see request
+	expiresAt    time.Duration // the client's deadline
+}
 
 // givenUpRequests holds the requests that were given up here, rejected or failed, until the client's
-// deadline, so that a client retry is recognized.
+// deadline, so that a client retry is recognized. It holds the latest request of each key.
 type givenUpRequests struct {
-	byKey   map[clientRetryKey]*request // the latest request of each key
-	inOrder []*request                  // in the order in which they were given up
+	byKey   map[clientRetryKey]*list.Element // elements of inOrder
+	inOrder *list.List                       // of *givenUpRequest, in the order in which they were given up
 }
 
 func newGivenUpRequests() givenUpRequests {
-	return givenUpRequests{byKey: map[clientRetryKey]*request{}}
+	return givenUpRequests{byKey: map[clientRetryKey]*list.Element{}, inOrder: list.New()}
 }
 
 // len returns the number of requests that are kept.
-func (g *givenUpRequests) len() int { return len(g.inOrder) }
+func (g *givenUpRequests) len() int { return g.inOrder.Len() }
 
 // find returns the given-up request of which r may be a client retry, or nil.
-func (g *givenUpRequests) find(r *request) *request { return g.byKey[r.clientRetryKey()] }
+func (g *givenUpRequests) find(r *request) *givenUpRequest {
+	if element := g.byKey[r.clientRetryKey()]; element != nil {
+		return element.Value.(*givenUpRequest)
+	}
+	return nil
+}
 
 // remove removes the given-up request of which r is a client retry.
-func (g *givenUpRequests) remove(r *request) { delete(g.byKey, r.clientRetryKey()) }
+func (g *givenUpRequests) remove(r *request) {
+	if element := g.byKey[r.clientRetryKey()]; element != nil {
+		g.removeElement(element)
+	}
+}
 
-// add records the request, and removes the oldest ones whose client no longer waits.
+// add records the request in place of an earlier one with the same key. It removes the oldest requests
+// whose client no longer waits.
 func (g *givenUpRequests) add(r *request, now time.Duration) {
-	g.byKey[r.clientRetryKey()] = r
-	g.inOrder = append(g.inOrder, r)
-	for len(g.inOrder) > 0 {
-		oldest := g.inOrder[0]
-		if now <= oldest.firstArrival+oldest.class.Deadline {
-			return
-		}
-		if g.byKey[oldest.clientRetryKey()] == oldest {
-			delete(g.byKey, oldest.clientRetryKey())
-		}
-		g.inOrder = g.inOrder[1:]
+	g.remove(r)
+	key := r.clientRetryKey()
+	g.byKey[key] = g.inOrder.PushBack(&givenUpRequest{
+		key:          key,
+		firstArrival: r.firstArrival,
+		expiresAt:    r.firstArrival + r.class.Deadline,
+	})
+	for g.hasExpired(now) {
+		g.removeElement(g.inOrder.Front())
 	}
 }
+
+// hasExpired reports whether the client of the oldest request no longer waits.
+func (g *givenUpRequests) hasExpired(now time.Duration) bool {
+	oldest := g.inOrder.Front()
+	return oldest != nil && now > oldest.Value.(*givenUpRequest).expiresAt
+}
+
+func (g *givenUpRequests) removeElement(element *list.Element) {
+	removed := g.inOrder.Remove(element).(*givenUpRequest)
+	delete(g.byKey, removed.key)
+}
--- a/scheduler/givenup_test.go
+++ b/scheduler/givenup_test.go
@@ -55,26 +55,49 @@
 // TestGivenUpRequestsExpire checks that a given-up request is found by its key until its client's
 // deadline, and that the expiry of an older request does not remove a newer one with the same key.
 func TestGivenUpRequestsExpire(t *testing.T) {
-	class := &Class{Deadline: time.Second}
-	newGivenUp := func(id, extent string, at time.Duration) *request {
-		return &request{Request: Request{ID: id, Extent: extent}, class: class, firstArrival: at}
-	}
 	givenUp := newGivenUpRequests()
-	older := newGivenUp("older", "x", 0)
-	newer := newGivenUp("newer", "x", 900*ms)
-	givenUp.add(older, 0)
-	givenUp.add(newer, 900*ms)
+	givenUp.add(newGivenUp("older", "x", 0), 0)
+	givenUp.add(newGivenUp("newer", "x", 900*ms), 900*ms)
 	givenUp.add(newGivenUp("other", "y", 1100*ms), 1100*ms)
-	if got := givenUp.find(newGivenUp("retry", "x", 0)); got != newer {
+	if got := givenUp.find(newGivenUp("retry", "x", 0)); got == nil || got.firstArrival != 900*ms {
 		t.Errorf("found %v, want the newer request", got)
 	}
 	givenUp.add(newGivenUp("last", "z", 3*time.Second), 3*time.Second)
-	if len(givenUp.byKey) != 1 || len(givenUp.inOrder) != 1 {
-		t.Errorf("%d keys and %d requests kept, want only the last request",
-			len(givenUp.byKey), len(givenUp.inOrder))
+	if len(givenUp.byKey) != 1 || givenUp.len() != 1 {
+		t.Errorf("%d keys and %d requests kept, want only the last request", len(givenUp.byKey), givenUp.len())
 	}
 	givenUp.remove(newGivenUp("retry", "z", 0))
-	if len(givenUp.byKey) != 0 {
-		t.Error("a removed request is still found")
+	if len(givenUp.byKey) != 0 || givenUp.len() != 0 {
+		t.Error("a removed request is still kept")
+	}
+}
+
+// oneSecondClass is the class of newGivenUp.
+var oneSecondClass = Class{Deadline: time.Second}
+
+// newGivenUp returns a request that arrived at the given time and whose client waits for a second.
+func newGivenUp(id, extent string, at time.Duration) *request {
+	return &request{
+		Request:      Request{ID: id, Extent: extent},
+		class:        &oneSecondClass,
+		firstArrival: at,
+	}
+}
+
+// TestRepeatedRefusalIsKeptOnce guards against a given-up request that stays in memory after its client
+// retry has taken its place.
+func TestRepeatedRefusalIsKeptOnce(t *testing.T) {
+	h := newHarness(t, testSettings())
+	for i := range 1000 {
+		request := testRequest(fmt.Sprint(i), "v", 1)
+		request.Timeout = 20 * ms
+		h.step(request)
+		h.advance(20 * ms)
+	}
+	if len(h.responses) != 1000 {
+		t.Fatalf("%d of 1000 requests have a response", len(h.responses))
+	}
+	if kept := h.scheduler.TableSizes().GivenUp; kept != 1 {
+		t.Errorf("%d given-up requests kept, want the latest alone", kept)
 	}
 }
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -45,12 +45,13 @@
 
 // clientRetryKey holds the properties that a request and its client retries have in common.
 type clientRetryKey struct {
-	class, volume, extent string
-	units                 float64
+	class          *Class
+	volume, extent string
+	units          float64
 }
 
 func (r *request) clientRetryKey() clientRetryKey {
-	return clientRetryKey{class: r.Class, volume: r.Volume, extent: r.Extent, units: r.Units}
+	return clientRetryKey{class: r.class, volume: r.Volume, extent: r.Extent, units: r.Units}
 }
 
 // recordExecution records that the target may have executed the attempt that ended with this status.
--- a/scheduler/sweep_test.go
+++ b/scheduler/sweep_test.go
@@ -24,7 +24,7 @@
 			"arrivals":          len(s.retryBudget.arrivals),
 			"retries":           len(s.retryBudget.retries),
 			"given up":          len(s.givenUp.byKey),
-			"given up in order": len(s.givenUp.inOrder),
+			"given up in order": s.givenUp.len(),
 			"give-up heap":      len(s.pendingGiveUps),
 		} {
 			if size > 10 {
