scheduler: at most 8,192 given-up requests are kept

Cause: the table of given-up requests holds every key that was refused within the longest deadline, without a bound.

Change: beyond 8,192 requests the oldest is dropped. The operators' terms give an initiator 600 requests a second at most and deadlines of 5 s, so usual clients alone stay below that.

Why this works: what is dropped is only an advantage. A client retry that is not recognized counts as a new request, as it does after a restart.

Before: TestRefusedRequestsAreLimited failed (no limit). After: it passes.

--- a/scheduler/givenup.go
+++ b/scheduler/givenup.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// maxGivenUpRequests limits the number of given-up requests that are kept. Beyond it the oldest is dropped,
+// and its client retry, if there is one, counts as a new request. Clients that send requests at full speed
+// and are refused cannot make the process exceed its memory.
+const maxGivenUpRequests = 8192
+
 // givenUpRequest is what is kept of a request that was given up.
 type givenUpRequest struct {
 	key          clientRetryKey
@@ -13,7 +18,8 @@
 }
 
 // givenUpRequests holds the requests that were given up here, rejected or failed, until the client's
-// deadline, so that a client retry is recognized. It holds the latest request of each key.
+// deadline, so that a client retry is recognized. It holds the latest request of each key, and at most
+// maxGivenUpRequests in all.
 type givenUpRequests struct {
 	byKey   map[clientRetryKey]*list.Element // elements of inOrder
 	inOrder *list.List                       // of *givenUpRequest, in the order in which they were given up
@@ -42,7 +48,7 @@
 }
 
 // add records the request in place of an earlier one with the same key. It removes the oldest requests
-// whose client no longer waits.
+// whose client no longer waits, and those beyond the limit.
 func (g *givenUpRequests) add(r *request, now time.Duration) {
 	g.remove(r)
 	key := r.clientRetryKey()
@@ -51,15 +57,18 @@
 		firstArrival: r.firstArrival,
 		expiresAt:    r.firstArrival + r.class.Deadline,
 	})
-	for g.hasExpired(now) {
+	for g.hasExcess(now) {
 		g.removeElement(g.inOrder.Front())
 	}
 }
 
-// hasExpired reports whether the client of the oldest request no longer waits.
-func (g *givenUpRequests) hasExpired(now time.Duration) bool {
+// hasExcess reports whether the oldest request has to be removed.
+func (g *givenUpRequests) hasExcess(now time.Duration) bool {
 	oldest := g.inOrder.Front()
-	return oldest != nil && now > oldest.Value.(*givenUpRequest).expiresAt
+	if oldest == nil {
+		return false
+	}
+	return g.len() > maxGivenUpRequests || now > oldest.Value.(*givenUpRequest).expiresAt
 }
 
 func (g *givenUpRequests) removeElement(element *list.Element) {
--- a/scheduler/givenup_test.go
+++ b/scheduler/givenup_test.go
@@ -101,3 +101,22 @@
 		t.Errorf("%d given-up requests kept, want the latest alone", kept)
 	}
 }
+
+// TestRefusedRequestsAreLimited guards against refused requests that fill the memory until their
+// clients' deadlines.
+func TestRefusedRequestsAreLimited(t *testing.T) {
+	const refused = 3 * maxGivenUpRequests
+	givenUp := newGivenUpRequests()
+	for i := range refused {
+		givenUp.add(newGivenUp("r", fmt.Sprint(i), 0), 0)
+	}
+	if givenUp.len() != maxGivenUpRequests || len(givenUp.byKey) != maxGivenUpRequests {
+		t.Errorf("%d requests with %d keys kept, want %d", givenUp.len(), len(givenUp.byKey), maxGivenUpRequests)
+	}
+	if givenUp.find(newGivenUp("retry", fmt.Sprint(refused-1), 0)) == nil {
+		t.Error("the latest request is not found")
+	}
+	if givenUp.find(newGivenUp("retry", fmt.Sprint(refused-maxGivenUpRequests-1), 0)) != nil {
+		t.Error("the oldest request is kept beyond the limit")
+	}
+}
