clienthttp: remembered volumes and extents no longer hold their requests' heads

Callers saw: an initiator over its 64 MB, with all its open requests lost, 2.3 s after 100 bad clients begin to send requests with a new volume and an IO-Info header of 6,000 bytes each.

Cause: parseRequestURI and parseIOInfo return parts of the head's lines, and a part of a string keeps the whole in memory. The scheduler remembers volumes until they are swept and extents of given-up requests until the deadline.

Change: both are copied when the head is parsed.

Why this works: what is remembered is as long as the key itself, 16 bytes, whatever the head holds.

Before: TestKeptKeysDoNotKeepHeadInMemory failed (9,708 bytes kept of each request), TestNewVolumesWithLongHeadersStayWithinMemory failed (65,704 of 65,536 KiB after 11,354 requests; 65,976 after 12,868 with the limit on given-up requests).

--- a/internal/clienthttp/parse.go
+++ b/internal/clienthttp/parse.go
@@ -82,7 +82,9 @@
 	}
 	request.Class = class
 	request.Plan = r.Header.Get(headerPlan)
-	request.Extent = extent
+	// The scheduler keeps these two beyond the end of the request, which must not keep the lines of the head in memory.
+	request.Extent = strings.Clone(extent)
+	request.Volume = strings.Clone(request.Volume)
 	if err := s.checkConfigured(request); err != nil {
 		return nil, nil, err
 	}
--- a/internal/clienthttp/parse_test.go
+++ b/internal/clienthttp/parse_test.go
@@ -1,9 +1,11 @@
 package clienthttp
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -105,3 +107,39 @@
 		}
 	})
 }
+
+// TestKeptKeysDoNotKeepHeadInMemory guards against volumes and extents, which the scheduler remembers, that are parts of the
+// long lines of their requests' heads.
+func TestKeptKeysDoNotKeepHeadInMemory(t *testing.T) {
+	const requests, paddingBytes = 1000, 4 << 10
+	s := newTestServer(newFakeDispatcher(), maxTestConns)
+	padding := strings.Repeat("p", paddingBytes)
+	raw := strings.Replace(validGet, "/x/", "/"+padding+"/", 1)
+	raw = strings.Replace(raw, "hosts=3", "hosts=3,note="+padding, 1)
+	kept := make([]string, 0, 3*requests)
+	before := liveHeapBytes()
+	for range requests {
+		request, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		call, _, malformed := s.parseHead(request)
+		if malformed != nil {
+			t.Fatal(malformed)
+		}
+		kept = append(kept, call.Extent, call.Volume, call.ClientRequestID)
+	}
+	grown := liveHeapBytes() - before
+	if perRequest := grown / requests; perRequest >= paddingBytes/2 {
+		t.Errorf("%d bytes are kept of each request", perRequest)
+	}
+	runtime.KeepAlive(kept)
+}
+
+// liveHeapBytes returns the size of all reachable heap objects.
+func liveHeapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/faulttest/flood_test.go
+++ b/internal/faulttest/flood_test.go
@@ -164,3 +164,11 @@
 		return floodRequest(client, n, client, client, longPathBytes, 0)
 	}}.run(t)
 }
+
+// TestNewVolumesWithLongHeadersStayWithinMemory guards against remembered volumes and extents that keep the lines of their
+// requests' heads in memory.
+func TestNewVolumesWithLongHeadersStayWithinMemory(t *testing.T) {
+	flood{clients: 100, memoryMiB: 64, sockets: 512, request: func(client, n int) string {
+		return floodRequest(client, n, client<<32+n, client, 0, longHeaderBytes)
+	}}.run(t)
+}
