scheduler: at most 8,192 volumes have state

Callers saw: an initiator that serves ever more slowly beside bad clients that name a new volume in each request, and that exceeds its 64 MB after 25.7 s, with all its open requests lost (a trial: the flood of the tests for 45 s instead of 6 s, 100 clients).

Cause: the state of a volume is kept for 60 of the shortest objectives after its use, whatever the number of volumes. At a busy shard it is kept for good, because each synchronization point refills the buckets of idle volumes, which counts as use.

Evidence: "table sizes" of the trial: volumes grow from 54,510 to 193,487 in 22 s, by 15,701 in the first of these seconds and by some 4,000 to 8,000 in the later ones, while all other tables stand still; heap_live grows from 17.0 to 51.5 MB.

Change: a new volume beyond the limit removes the least recently used half of the volumes without a request, with their flows.

Why this works: the table is bounded by the limit and the open requests; the walk over a shard's volumes at a synchronization point is too.

Before: TestNewVolumesAreLimited failed (24,577 volumes and flows).

--- a/scheduler/arrival.go
+++ b/scheduler/arrival.go
@@ -42,9 +42,13 @@
 func (s *Scheduler) volumeFor(e Request, plan *Plan) *volume {
 	v := s.volumes[e.Volume]
 	if v == nil {
+		if len(s.volumes) >= maxVolumes {
+			s.evictVolumes()
+		}
 		v = s.newVolume(plan, e.Initiators)
 		s.volumes[e.Volume] = v
 	}
+	v.lastUsed = s.now
 	v.setInitiators(e.Initiators)
 	return v
 }
--- a/scheduler/sweep.go
+++ b/scheduler/sweep.go
@@ -18,8 +18,8 @@
 		return
 	}
 	since := s.lastSweep
-	s.sweepShardQueues(since)
-	maps.DeleteFunc(s.volumes, func(_ string, v *volume) bool { return v.isIdle(since) })
+	s.removeVolumes(func(v *volume) bool { return v.isIdle(since) })
+	s.sweepShardQueues()
 	maps.DeleteFunc(s.serialQueues, func(_ string, q *serialQueue) bool {
 		return len(q.requests) == 0 && q.settleUntil < since
 	})
@@ -27,18 +27,8 @@
 	s.lastSweep = s.now
 }
 
-// sweepShardQueues removes the flows of idle volumes, and the empty queues of shards that no target
-// serves.
-func (s *Scheduler) sweepShardQueues(since time.Duration) {
-	for _, q := range s.shardQueues {
-		q.flows = slices.DeleteFunc(q.flows, func(f *flow) bool {
-			isIdle := f.queued == 0 && f.volume.isIdle(since)
-			if isIdle {
-				delete(q.flowsByVolume, f.volume)
-			}
-			return isIdle
-		})
-	}
+// sweepShardQueues removes the empty queues of shards that no target serves.
+func (s *Scheduler) sweepShardQueues() {
 	s.shardQueues = slices.DeleteFunc(s.shardQueues, func(q *shardQueue) bool {
 		servesShard := func(t *target) bool { return t.Shard == q.shard }
 		return len(q.queued)+len(q.flows) == 0 && !slices.ContainsFunc(s.targets, servesShard)
--- a/scheduler/sweep_test.go
+++ b/scheduler/sweep_test.go
@@ -72,3 +72,29 @@
 	}
 	h.sends = nil
 }
+
+// TestNewVolumesAreLimited guards against clients that name a new volume in each request and so fill the
+// memory until the next sweep, or for good if their shard is busy.
+func TestNewVolumesAreLimited(t *testing.T) {
+	h := newHarness(t, testSettings(), servingTarget(testTarget, 0))
+	h.step(testRequest("open", "busy volume", 1))
+	for i := range 3 * maxVolumes {
+		request := testRequest(fmt.Sprint(i), fmt.Sprintf("v%d", i), 1)
+		h.step(request)
+		h.step(ClientClosed{RequestID: request.ID})
+		h.now += time.Microsecond
+	}
+	sizes := h.scheduler.TableSizes()
+	if sizes.Volumes > maxVolumes || sizes.Flows > maxVolumes {
+		t.Errorf("%d volumes and %d flows kept, want at most %d", sizes.Volumes, sizes.Flows, maxVolumes)
+	}
+	if flows := len(h.scheduler.shardQueues[0].flowsByVolume); flows != sizes.Flows {
+		t.Errorf("%d flows by volume, but %d flows", flows, sizes.Flows)
+	}
+	if h.scheduler.volumes["busy volume"] == nil {
+		t.Error("a volume with a request in flight was removed")
+	}
+	if h.scheduler.volumes[fmt.Sprintf("v%d", 3*maxVolumes-1)] == nil {
+		t.Error("the latest volume was removed")
+	}
+}
--- a/scheduler/volume.go
+++ b/scheduler/volume.go
@@ -1,16 +1,26 @@
 package scheduler
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// maxVolumes limits the number of volumes with state, not counting those with a request. Clients that name a
+// new volume in each request cannot make the process exceed its memory, and a synchronization point, which
+// visits the volumes of its shard queue, stays cheap.
+const maxVolumes = 8192
 
 // volume is the state of one volume. Fair queuing shares the targets between volumes, each of which has
 // its own token bucket.
 type volume struct {
 	plan        *Plan
-	initiators  float64     // number of initiators that send its requests
-	backlog     int         // number of its requests that are queued or in flight here
-	bucket      tokenBucket // for fair queuing; may be negative
-	limit       tokenBucket // for this initiator's share of the plan's limit
-	reservation tokenBucket // units of the reservation that are not used up yet
+	initiators  float64       // number of initiators that send its requests
+	backlog     int           // number of its requests that are queued or in flight here
+	lastUsed    time.Duration // arrival of its latest request
+	bucket      tokenBucket   // for fair queuing; may be negative
+	limit       tokenBucket   // for this initiator's share of the plan's limit
+	reservation tokenBucket   // units of the reservation that are not used up yet
 	usage       serviceRates
 }
 
@@ -23,6 +33,38 @@
 	return v
 }
 
+// evictVolumes removes the least recently used half of the volumes that have nothing queued or in flight. If
+// such a volume returns, it starts with a full bucket, as after a sweep.
+func (s *Scheduler) evictVolumes() {
+	var lastUsed []time.Duration
+	for _, v := range s.volumes {
+		if v.backlog == 0 {
+			lastUsed = append(lastUsed, v.lastUsed)
+		}
+	}
+	if len(lastUsed) == 0 {
+		return
+	}
+	slices.Sort(lastUsed)
+	median := lastUsed[len(lastUsed)/2]
+	s.removeVolumes(func(v *volume) bool { return v.backlog == 0 && v.lastUsed <= median })
+}
+
+// removeVolumes removes the volumes for which isRemoved returns true, and their flows. They must have nothing
+// queued or in flight.
+func (s *Scheduler) removeVolumes(isRemoved func(*volume) bool) {
+	for _, q := range s.shardQueues {
+		q.flows = slices.DeleteFunc(q.flows, func(f *flow) bool {
+			if !isRemoved(f.volume) {
+				return false
+			}
+			delete(q.flowsByVolume, f.volume)
+			return true
+		})
+	}
+	maps.DeleteFunc(s.volumes, func(_ string, v *volume) bool { return isRemoved(v) })
+}
+
 // setInitiators sets the number of initiators of the volume. Each request may carry a different number.
 func (v *volume) setInitiators(count int) { v.initiators = float64(max(1, count)) }
 
