memorybudget: a package of its own for a budget of bytes that goroutines share

Change: upstream.memoryBudget and its tests move, with exported names, and Free returns what is left. No behaviour changes.

--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -15,6 +15,7 @@
 
 	"dapplegate/internal/dispatcher"
 	"dapplegate/internal/httpmsg"
+	"dapplegate/internal/memorybudget"
 	"dapplegate/internal/propertytest"
 	"dapplegate/scheduler"
 )
@@ -195,7 +196,7 @@
 }
 
 func newTestHTTPConn(conn net.Conn) *httpConn {
-	return &httpConn{Conn: conn, budget: newMemoryBudget(2 * maxBodyBytes)}
+	return &httpConn{Conn: conn, budget: memorybudget.New(2 * maxBodyBytes)}
 }
 
 // withoutDeadlines is a deadlineReader that ignores deadlines.
@@ -206,7 +207,7 @@
 // readResponse parses the response to a GET. The target sent the given bytes and then closed the connection.
 func readResponse(sent string) (*response, error) {
 	conn := withoutDeadlines{strings.NewReader(sent)}
-	return newResponseReader(conn, time.Now().Add(time.Minute), newMemoryBudget(2*maxBodyBytes)).read("GET")
+	return newResponseReader(conn, time.Now().Add(time.Minute), memorybudget.New(2*maxBodyBytes)).read("GET")
 }
 
 // blockingDialer blocks each dial until the test releases it or its context is done.
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -7,18 +7,19 @@
 
 	"dapplegate/internal/dispatcher"
 	"dapplegate/internal/httpmsg"
+	"dapplegate/internal/memorybudget"
 	"dapplegate/internal/socket"
 )
 
 // HTTPDialer opens HTTP/1.1 connections, which share one memory budget for the response bodies that they read.
 type HTTPDialer struct {
-	budget *memoryBudget
+	budget *memorybudget.Budget
 }
 
 // NewHTTPDialer returns a dialer. The response bodies that its connections are reading at the same time are limited to
 // maxBufferedBytes in total, but the limit is at least two bodies of the largest size.
 func NewHTTPDialer(maxBufferedBytes int64) HTTPDialer {
-	return HTTPDialer{newMemoryBudget(max(maxBufferedBytes, 2*maxBodyBytes))}
+	return HTTPDialer{memorybudget.New(max(maxBufferedBytes, 2*maxBodyBytes))}
 }
 
 // Dial implements Dialer.
@@ -34,7 +35,7 @@
 type httpConn struct {
 	net.Conn
 	host   string // value of the Host header
-	budget *memoryBudget
+	budget *memorybudget.Budget
 }
 
 // RoundTrip implements Conn. The status depends on how much was written: before the last byte of the request is written, the
--- a/internal/upstream/http_test.go
+++ b/internal/upstream/http_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"dapplegate/internal/httpmsg"
+	"dapplegate/internal/memorybudget"
 	"dapplegate/scheduler"
 )
 
@@ -220,7 +221,7 @@
 		}
 		return true
 	})
-	dialer := HTTPDialer{newMemoryBudget(budget)}
+	dialer := HTTPDialer{memorybudget.New(budget)}
 	registry := newTestRegistryWith(dialer, testTimeout, server.Addr().String())
 	send := func(requestID string) { registry.sendRead(requestID, testTarget, testTimeout) }
 	send("1")
@@ -235,7 +236,7 @@
 		t.Errorf("two responses with memory for one: got statuses %v and %v, want CANCELLED and SUCCEEDED",
 			first.Status, second.Status)
 	}
-	if available := dialer.budget.free.Load(); available != budget {
+	if available := dialer.budget.Free(); available != budget {
 		t.Errorf("%d bytes of the budget are free afterwards, want %d", available, budget)
 	}
 }
@@ -249,7 +250,7 @@
 		{"body", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("b", maxBodyBytes+1)},
 	} {
 		conn := withoutDeadlines{strings.NewReader(c.response)}
-		reader := newResponseReader(conn, time.Now().Add(time.Minute), newMemoryBudget(2*maxBodyBytes))
+		reader := newResponseReader(conn, time.Now().Add(time.Minute), memorybudget.New(2*maxBodyBytes))
 		_, err := reader.read(http.MethodGet)
 		if err == nil {
 			t.Errorf("%s: response was accepted", c.name)
--- a/internal/upstream/httpresponse.go
+++ b/internal/upstream/httpresponse.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dapplegate/internal/dispatcher"
+	"dapplegate/internal/memorybudget"
 	"dapplegate/scheduler"
 )
 
@@ -75,10 +76,10 @@
 	stream *stallReader
 	limit  *io.LimitedReader // limits how many bytes of the head or body may still be read from the connection
 	buffer *bufio.Reader
-	budget *memoryBudget
+	budget *memorybudget.Budget
 }
 
-func newResponseReader(conn deadlineReader, deadline time.Time, budget *memoryBudget) *responseReader {
+func newResponseReader(conn deadlineReader, deadline time.Time, budget *memorybudget.Budget) *responseReader {
 	stream := &stallReader{deadlineReader: conn, deadline: deadline}
 	limit := &io.LimitedReader{R: stream}
 	return &responseReader{
@@ -151,10 +152,10 @@
 	if reserved < 0 {
 		reserved = maxBodyBytes
 	}
-	if !r.budget.acquire(reserved) {
+	if !r.budget.Acquire(reserved) {
 		return nil, errMemoryBudget
 	}
-	defer r.budget.release(reserved)
+	defer r.budget.Release(reserved)
 
 	var body bytes.Buffer
 	if head.ContentLength > 0 {
