clienthttp: a connection refused over the limit gets no goroutine

Callers saw: an initiator over its memory limit of 32 MB, with all its open requests lost, beside clients that connect again as soon as they are refused.

Cause: markOverLimit closed a connection far over the limit, but Accept still returned it, so that net/http started a goroutine for it. That goroutine waited in onClosed for the table's lock, which the accepting goroutine takes for each new connection. Accepting is faster than their end.

Evidence: a dump of a process at 29 MB of 32 MB (flood of 500 clients, limit of 455 connections): 926 of 1,312 goroutines in connTable.onClosed, 928 log lines with reason=CONNECTION_LIMIT.

Change: the table says whether it admits a connection; a refused one gets its 503 and is closed, and Accept goes on.

Why this works: what is not passed on holds neither a goroutine nor a buffer. The client sees the same bytes as before.

Before: TestRefusedConnectionsAreNotServed failed (the first refused connection was passed on, so that nobody accepted the next). After: it passes.

--- a/internal/clienthttp/accept.go
+++ b/internal/clienthttp/accept.go
@@ -34,8 +34,8 @@
 	return errors.As(err, &errno) && slices.Contains(transientAcceptErrors, errno)
 }
 
-// listener adds accepted connections to the table, and retries a failed accept with backoff. Only one goroutine calls
-// Accept.
+// listener adds accepted connections to the table, and retries a failed accept with backoff. A connection that the table
+// refuses is not returned. Only one goroutine calls Accept.
 //
 // net/http stops the server on every accept error that the net package does not call temporary, which would end the
 // process and all requests in flight. This listener hides transient errors from net/http and returns only permanent ones.
@@ -53,9 +53,12 @@
 		conn, err := l.Listener.Accept()
 		if err == nil {
 			acceptTook := time.Since(calledAt)
-			c := l.table.add(conn)
-			c.acceptTook = acceptTook
-			return c, nil
+			if c := l.table.add(conn); c != nil {
+				c.acceptTook = acceptTook
+				return c, nil
+			}
+			backoff = minAcceptBackoff
+			continue
 		}
 		if !isTransientAcceptError(err) {
 			return nil, err
--- a/internal/clienthttp/accept_test.go
+++ b/internal/clienthttp/accept_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"io"
+	"log/slog"
 	"net"
 	"os"
 	"strings"
@@ -174,3 +176,36 @@
 	}
 	call.Respond(servedResponse)
 }
+
+// TestRefusedConnectionsAreNotServed guards against connections far over the limit that each get a goroutine of net/http, of
+// which clients that connect again at once make more than end.
+func TestRefusedConnectionsAreNotServed(t *testing.T) {
+	const refused = 20
+	table := newConnTable(1, 1, slog.New(slog.DiscardHandler))
+	for range 1 + maxConnsOverLimit {
+		conn, _ := net.Pipe()
+		table.add(conn).state.Store(stateInFlight)
+	}
+	l := listen(t)
+	returned := make(chan net.Conn, 1)
+	go func() {
+		conn, _ := (&listener{Listener: l, table: table}).Accept() // ends with an error when the listener closes
+		returned <- conn
+	}()
+	for range refused {
+		conn := dial(t, l.Addr().String())
+		setDeadline(t, conn, time.Now().Add(testTimeout))
+		if got, err := io.ReadAll(conn); err != nil || string(got) != response503 {
+			t.Fatalf("connection far over the limit: %q, %v, want %q and its end", got, err, response503)
+		}
+	}
+	if err := l.Close(); err != nil {
+		t.Error(err)
+	}
+	if conn := <-returned; conn != nil {
+		t.Error("a refused connection was passed on to be served")
+	}
+	if len(table.open) != 1+maxConnsOverLimit {
+		t.Errorf("%d connections in the table, want %d", len(table.open), 1+maxConnsOverLimit)
+	}
+}
--- a/internal/clienthttp/conntable.go
+++ b/internal/clienthttp/conntable.go
@@ -40,33 +40,51 @@
 	return &connTable{maxConns: maxConns, evictIdleAbove: min(evictIdleAbove, maxConns), log: log, open: map[*clientConn]bool{}}
 }
 
-// add adds an accepted connection to the table, and evicts another if there are too many.
+// add adds an accepted connection to the table, and evicts another if there are too many. It returns nil if it has refused
+// the connection.
 func (t *connTable) add(accepted net.Conn) *clientConn {
 	c := newClientConn(accepted)
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	admitted := t.admit(c)
+	shuttingDown := t.shuttingDown
+	t.mu.Unlock()
+	if !admitted {
+		refuse(c)
+		t.logEnd(c, shuttingDown)
+		return nil
+	}
+	return c
+}
+
+// admit adds a connection to the table, and evicts another if there are too many. It returns false if the connection is to be
+// refused. The caller holds t.mu.
+func (t *connTable) admit(c *clientConn) (admitted bool) {
 	t.open[c] = true
 	if len(t.open) <= t.evictIdleAbove {
-		return c
+		return true
 	}
 	overMaxConns := len(t.open) > t.maxConns
-	if !t.makeRoomFor(c, overMaxConns) && overMaxConns {
-		t.markOverLimit(c)
+	if t.makeRoomFor(c, overMaxConns) || !overMaxConns {
+		return true
 	}
-	return c
-}
-
-// markOverLimit marks a connection so that its request is rejected. If too many connections are over the limit already,
-// it sends response503 and closes the connection at once, even if bytes are unread on it. The caller holds t.mu, and
-// nothing has been read from the connection yet.
-func (t *connTable) markOverLimit(c *clientConn) {
 	c.overLimit = true
 	c.recordCloseReason(reasonConnectionLimit)
 	if len(t.open) > t.maxConns+maxConnsOverLimit {
-		c.state.Store(stateClosed)
-		socket.TrySend(c.Conn, response503)
-		_ = c.Close()
+		delete(t.open, c)
+		return false
 	}
+	return true
+}
+
+// refuse sends response503 on a connection from which nothing has been read, and closes it at once, even if bytes are unread
+// on it.
+//
+// net/http never sees the connection. With a goroutine for each refused connection, clients that connect again at once would
+// make goroutines faster than these end.
+func refuse(c *clientConn) {
+	c.state.Store(stateClosed)
+	socket.TrySend(c.Conn, response503)
+	_ = c.Close()
 }
 
 // closeTimedOut closes the connections that have been idle for keepAlive, and those whose request has not been claimed by
@@ -112,12 +130,17 @@
 	c.beginNextRequest()
 }
 
-// onClosed removes the connection from the table and logs why it ended.
+// onClosed removes a connection from the table and logs why it ended.
 func (t *connTable) onClosed(c *clientConn) {
 	t.mu.Lock()
 	delete(t.open, c)
 	shuttingDown := t.shuttingDown
 	t.mu.Unlock()
+	t.logEnd(c, shuttingDown)
+}
+
+// logEnd logs why a connection ended.
+func (t *connTable) logEnd(c *clientConn, shuttingDown bool) {
 	attrs := []slog.Attr{
 		slog.String("side", "client"),
 		slog.String("peer", c.RemoteAddr().String()),
--- a/internal/clienthttp/server.go
+++ b/internal/clienthttp/server.go
@@ -4,7 +4,7 @@
 // Before the server closes a connection, it checks that no bytes are unread on it. The check and the close are one step,
 // so that a request which has arrived is not left without a response. The exceptions:
 //
-//   - A connection far over the limit gets a response and is closed at once: see connTable.markOverLimit.
+//   - A connection far over the limit gets a response and is closed at once: see refuse.
 //   - A response that announces the close, such as that to a malformed request, ends the connection even if bytes follow
 //     its request. So does a response that could not be written.
 //   - An incomplete request that is too slow ends its connection: see the timeouts in server.go.
