config: a client connection counts as 48 KiB, and connections may take half of the memory

Callers saw: an initiator at or over its memory limit, with all its open requests lost, while bad clients keep all its connections busy (32 MB, 1,024 descriptors).

Cause: MaxClientConns assumed 24 KiB for a connection. The stacks of the goroutines that carry out its attempt and a head of the largest size were left out.

Change: 48 KiB, and half of the memory instead of a third. 16 MB now give 170 connections (227), 32 MB 341 (455), 64 MB 682 (910), each before the limit by descriptors.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -28,8 +28,11 @@
 	// MaxClientConns that clienthttp accepts only to reject one request on each (its maxConnsOverLimit, 24).
 	reservedDescriptors = 56
 
-	// clientConnBytes is the approximate memory use of a client connection: buffers, goroutine stack and one request.
-	clientConnBytes = 24 << 10
+	// clientConnBytes is the memory that a client connection may take, apart from the body of its request: buffers, a head of
+	// the largest size, and the stacks of the goroutines that serve the connection and carry out its attempt.
+	clientConnBytes = 48 << 10
+	// clientConnMemoryDivisor divides the memory; client connections may take the quotient.
+	clientConnMemoryDivisor = 2
 
 	// minClientConns is the lower bound of MaxClientConns, even if the limits leave room for fewer connections or for none.
 	minClientConns = 8
@@ -66,10 +69,10 @@
 }
 
 // MaxClientConns is the maximum number of concurrent client connections: one for each descriptor that connections to targets
-// and the process itself leave, but no more than fit into a third of the memory, and at least minClientConns.
+// and the process itself leave, but no more than fit into half of the memory, and at least minClientConns.
 func (c *Config) MaxClientConns() int {
 	byDescriptors := c.Limits.Sockets - c.MaxTargetConns() - reservedDescriptors
-	byMemory := c.Limits.MemoryMiB * bytesPerMiB / 3 / clientConnBytes
+	byMemory := c.Limits.MemoryMiB * bytesPerMiB / clientConnMemoryDivisor / clientConnBytes
 	return max(min(byDescriptors, byMemory), minClientConns)
 }
 
