clienthttp: the heads and bodies of requests in flight share an eighth of the memory

Callers saw: an initiator over its memory limit of 32 MB, with all its open requests lost, 2 to 3 s after 500 bad clients begin to send writes of 64 KiB, or heads of 14 KiB, to a target that hangs (1,024 descriptors).

Cause: requests in flight were limited by the number of connections alone, at 24 KiB each, whatever they hold. The buffer for a body was made as soon as its head had arrived.

Change: a budget of bytes, taken for the head once it is parsed and for the body as it arrives, and returned after the response. A request for which there is no room gets 503 with Retry-After at once, on a connection that stays open.

Why this works: what requests in flight hold is bounded in bytes, whatever their number. A client that declares a body and does not send it takes 4 KiB, so that it cannot keep the writes of others out.

--- a/cmd/initiator/initiator.go
+++ b/cmd/initiator/initiator.go
@@ -137,14 +137,15 @@
 	cfg := in.config
 	servers := map[string]server{
 		cfg.Listen: clienthttp.New(in.dispatcher, clienthttp.Options{
-			Classes:        cfg.ClassNames(),
-			Plans:          cfg.PlanNames(),
-			MaxConns:       cfg.MaxClientConns(),
-			EvictIdleAbove: cfg.EvictIdleAbove(),
-			MaxDeadline:    cfg.MaxDeadline(),
-			Ready:          in.hasEndpoints.Load,
-			ReadinessOnly:  operator.NVMe != nil,
-			Logger:         in.log,
+			Classes:         cfg.ClassNames(),
+			Plans:           cfg.PlanNames(),
+			MaxConns:        cfg.MaxClientConns(),
+			EvictIdleAbove:  cfg.EvictIdleAbove(),
+			MaxRequestBytes: cfg.MaxRequestBytes(),
+			MaxDeadline:     cfg.MaxDeadline(),
+			Ready:           in.hasEndpoints.Load,
+			ReadinessOnly:   operator.NVMe != nil,
+			Logger:          in.log,
 		}),
 	}
 	if operator.NVMe != nil {
--- a/internal/clienthttp/handler.go
+++ b/internal/clienthttp/handler.go
@@ -44,10 +44,17 @@
 		s.respondLocally(w, r)
 		return
 	}
-	call, malformed := s.readRequest(r)
-	if malformed != nil {
+	memory := requestMemory{budget: s.requestBudget}
+	defer memory.release()
+	call, err := s.readRequest(r, &memory)
+	var malformed *requestError
+	switch {
+	case errors.As(err, &malformed):
 		respondMalformed(w, r, conn, malformed)
 		return
+	case err != nil:
+		s.respondOutOfMemory(w, conn)
+		return
 	}
 	conn.inFlightRequestID.Store(&call.ClientRequestID)
 	conn.claimRequest()
@@ -84,20 +91,32 @@
 	}
 }
 
-// readRequest reads the head and the body of a request into a call for the dispatcher.
-func (s *Server) readRequest(r *http.Request) (*dispatcher.Call, *requestError) {
-	call, forwarded, err := s.parseHead(r)
-	if err != nil {
+// readRequest reads the head and the body of a request into a call for the dispatcher. Its error is a *requestError if the
+// request is malformed, or else errOutOfMemory.
+func (s *Server) readRequest(r *http.Request, memory *requestMemory) (*dispatcher.Call, error) {
+	call, forwarded, malformed := s.parseHead(r)
+	if malformed != nil {
+		return nil, malformed
+	}
+	if err := memory.acquire(headBytes(r)); err != nil {
 		return nil, err
 	}
-	forwarded.Body, err = readBody(r)
+	body, err := readBody(r, memory)
 	if err != nil {
 		return nil, err
 	}
+	forwarded.Body = body
 	call.Payload = forwarded
 	return call, nil
 }
 
+// respondOutOfMemory rejects a request for which there is no memory. net/http reads the rest of its body before it writes the
+// response, so that the connection can carry further requests.
+func (s *Server) respondOutOfMemory(w http.ResponseWriter, conn *clientConn) {
+	conn.claimRequest()
+	s.writeResponse(w, dispatcher.Overloaded)
+}
+
 // liftReadDeadline removes the deadline for the arrival of the request, so that it does not end the connection while the
 // request is in flight.
 func liftReadDeadline(w http.ResponseWriter) {
--- a/internal/clienthttp/helpers_test.go
+++ b/internal/clienthttp/helpers_test.go
@@ -18,6 +18,8 @@
 	testTimeout = 20 * time.Second
 	// maxTestConns is a connection limit that the tests which use it never reach.
 	maxTestConns = 64
+	// maxTestRequestBytes is a limit on the memory for requests that the tests which use it never reach.
+	maxTestRequestBytes = 16 << 20
 )
 
 const validPutHead = "PUT /put/x/7f3a9c21e0b4d655?q=1 HTTP/1.1\r\nHost: a\r\nRequest-Id: id1\r\nTier: std\r\n" +
@@ -74,12 +76,13 @@
 // newTestServer returns a server that has not been started.
 func newTestServer(d Dispatcher, maxConns int) *Server {
 	return New(d, Options{
-		Classes:        map[string]bool{"get": true, "put": true},
-		Plans:          map[string]bool{"std": true},
-		MaxConns:       maxConns,
-		EvictIdleAbove: maxConns,
-		MaxDeadline:    5 * time.Second,
-		Logger:         slog.New(slog.DiscardHandler),
+		Classes:         map[string]bool{"get": true, "put": true},
+		Plans:           map[string]bool{"std": true},
+		MaxConns:        maxConns,
+		EvictIdleAbove:  maxConns,
+		MaxRequestBytes: maxTestRequestBytes,
+		MaxDeadline:     5 * time.Second,
+		Logger:          slog.New(slog.DiscardHandler),
 	})
 }
 
--- a/internal/clienthttp/parse.go
+++ b/internal/clienthttp/parse.go
@@ -24,6 +24,8 @@
 const (
 	// maxClientTimeoutMillis is the longest timeout that a client may request, in milliseconds.
 	maxClientTimeoutMillis = 10 * 60 * 1000
+	// firstBodyPart is the size, in bytes, of the buffer that a body is read into until more of it has arrived.
+	firstBodyPart = 4 << 10
 	// maxRequestIDLength is the maximum length, in bytes, of the client's ID of a request.
 	maxRequestIDLength = 64
 	// maxShard, maxInitiators and maxUnits limit the numbers in an IO-Info header; maxUnits itself is out of range.
@@ -239,14 +241,21 @@
 }
 
 // readBody reads the request's body, whose length is declared and within the limit. The server's read timeout limits how
-// long that takes.
-func readBody(r *http.Request) ([]byte, *requestError) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return nil, requestErrorf(http.StatusRequestTimeout, "body: did not come whole")
+// long that takes. The buffer grows with what has arrived, so that a client that declares a body and does not send it takes
+// little memory. The error is a *requestError if the body does not arrive, or else errOutOfMemory.
+func readBody(r *http.Request, memory *requestMemory) ([]byte, error) {
+	var body []byte
+	for int64(len(body)) < r.ContentLength {
+		size := min(max(2*int64(len(body)), firstBodyPart), r.ContentLength)
+		if err := memory.acquire(size - int64(len(body))); err != nil {
+			return nil, err
+		}
+		larger := make([]byte, size)
+		arrived := copy(larger, body)
+		if _, err := io.ReadFull(r.Body, larger[arrived:]); err != nil {
+			return nil, requestErrorf(http.StatusRequestTimeout, "body: did not come whole")
+		}
+		body = larger
 	}
 	return body, nil
 }
--- a/internal/clienthttp/server.go
+++ b/internal/clienthttp/server.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"dapplegate/internal/dispatcher"
+	"dapplegate/internal/memorybudget"
 )
 
 // maxHeaderBytes limits the size of a request head.
@@ -68,10 +69,12 @@
 	Plans          map[string]bool // plans that are accepted
 	MaxConns       int             // limit on open client connections
 	EvictIdleAbove int             // number of open connections above which a new one evicts an idle one: see connTable
-	MaxDeadline    time.Duration   // the longest deadline of any class
-	Ready          func() bool     // reports whether requests can be forwarded; nil if they always can
-	ReadinessOnly  bool            // serve only the readiness check, because requests arrive over another protocol
-	Logger         *slog.Logger
+	// MaxRequestBytes limits the heads and bodies of all requests in flight together. A request beyond it is rejected.
+	MaxRequestBytes int64
+	MaxDeadline     time.Duration // the longest deadline of any class
+	Ready           func() bool   // reports whether requests can be forwarded; nil if they always can
+	ReadinessOnly   bool          // serve only the readiness check, because requests arrive over another protocol
+	Logger          *slog.Logger
 }
 
 // Dispatcher takes over submitted requests and responds to each, unless its client closes the connection first.
@@ -92,6 +95,7 @@
 	http                  http.Server
 	listener              atomic.Pointer[net.Listener] // set by Serve, read by Shutdown
 	conns                 *connTable
+	requestBudget         *memorybudget.Budget // for Options.MaxRequestBytes
 	shutdownSchedule      dispatcher.ShutdownSchedule
 	shutdownStartedAt     atomic.Pointer[time.Time] // when Shutdown was called; nil if it was not
 	closeAfterResponse    atomic.Bool               // set late in Shutdown: each response closes its connection
@@ -105,6 +109,7 @@
 		options:              options,
 		dispatcher:           d,
 		conns:                newConnTable(options.MaxConns, options.EvictIdleAbove, options.Logger),
+		requestBudget:        memorybudget.New(options.MaxRequestBytes),
 		shutdownSchedule:     dispatcher.NewShutdownSchedule(options.MaxDeadline),
 		timeoutChecksStopped: make(chan struct{}),
 	}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -89,3 +89,7 @@
 // MaxBufferedBytes is a quarter of the memory. Over HTTP it bounds the total size of the response bodies that are being read
 // at one time; over NVMe it bounds the data of the commands in flight.
 func (c *Config) MaxBufferedBytes() int64 { return int64(c.Limits.MemoryMiB) * bytesPerMiB / 4 }
+
+// MaxRequestBytes is an eighth of the memory. It bounds the heads and bodies of all client requests in flight over HTTP. While an
+// attempt is being written, its request is in memory twice.
+func (c *Config) MaxRequestBytes() int64 { return int64(c.Limits.MemoryMiB) * bytesPerMiB / 8 }
--- a/internal/faulttest/flood_test.go
+++ b/internal/faulttest/flood_test.go
@@ -29,6 +29,10 @@
 	memoryCheckInterval = 5 * time.Millisecond
 	// hopelessTimeout is a client's timeout that is too short for the target, so that the request is refused.
 	hopelessTimeout = 20 * time.Millisecond
+	// patientTimeout is a client's timeout that keeps its request in flight at a target that hangs.
+	patientTimeout = 2 * time.Second
+	// maxBodyBytes is the largest body of a request.
+	maxBodyBytes = 64 << 10
 	// longPathBytes and longHeaderBytes are the lengths of long parts of a request's head. Both fit into a head.
 	longPathBytes   = 3600
 	longHeaderBytes = 6000
@@ -52,9 +56,9 @@
 // floodRequest returns a read of longDeadlineClass with little time left, of a volume and an extent, with padding in the path
 // and in the IO-Info header.
 func floodRequest(client, n, volume, extent, pathPadding, headerPadding int) string {
-	return fmt.Sprintf("GET /%s/%s/%016x HTTP/1.1\r\nHost: a\r\nRequest-Id: bad-%d-%d\r\nTier: std\r\nRequest-Timeout-Ms: %d\r\n"+
+	return fmt.Sprintf("GET /%s/%s/%016x HTTP/1.1\r\nHost: a\r\nRequest-Id: bad-%d-%d\r\nTier: std\r\n%s"+
 		"IO-Info: volume=%016x,units=1,shard=0,hosts=1,note=%s\r\n\r\n", longDeadlineClass.Name, strings.Repeat("p", pathPadding),
-		extent, client, n, hopelessTimeout.Milliseconds(), volume, strings.Repeat("h", headerPadding))
+		extent, client, n, timeoutHeader(hopelessTimeout), volume, strings.Repeat("h", headerPadding))
 }
 
 // run starts an initiator, floods it beside usual clients, and checks that it stays within its memory limit and gives each
@@ -172,3 +176,26 @@
 		return floodRequest(client, n, client<<32+n, client, 0, longHeaderBytes)
 	}}.run(t)
 }
+
+func hang(*rand.Rand) Behaviour { return Behaviour{Reply: Hang} }
+
+// TestLongBodiesInFlightStayWithinMemory guards against the bodies of requests in flight, which only the number of connections
+// limited.
+func TestLongBodiesInFlightStayWithinMemory(t *testing.T) {
+	body := strings.Repeat("b", maxBodyBytes)
+	flood{clients: 500, memoryMiB: 32, sockets: 1024, behaviour: hang, request: func(client, n int) string {
+		return Request{ID: fmt.Sprintf("bad-%d-%d", client, n), Class: longDeadlineClass, Timeout: patientTimeout, Body: body}.encode()
+	}}.run(t)
+}
+
+// TestLongHeadsInFlightStayWithinMemory guards against the heads of requests in flight in the same way.
+func TestLongHeadsInFlightStayWithinMemory(t *testing.T) {
+	flood{clients: 500, memoryMiB: 32, sockets: 1024, behaviour: hang, request: func(client, n int) string {
+		request := floodRequest(client, n, client, client, longHeaderBytes, longHeaderBytes)
+		return strings.Replace(request, timeoutHeader(hopelessTimeout), timeoutHeader(patientTimeout), 1)
+	}}.run(t)
+}
+
+func timeoutHeader(timeout time.Duration) string {
+	return fmt.Sprintf("Request-Timeout-Ms: %d\r\n", timeout.Milliseconds())
+}
