upstream: what the kernel has not sent of an attempt is discarded when the attempt ends

Callers saw: nothing for certain.

Cause: an attempt ends with an orderly close of its connection, which first sends what waits in the send buffer, however late the target takes it.

Evidence: with a target that reads nothing until 0.1 s after the end of the attempt, a write of 16 KiB (receive buffer of 2 KiB) and one of 64 KiB (16 KiB) arrived whole after a cancel and after the deadline.

Change: httpConn.Close asks the kernel for the bytes that were not sent, and if there are any, closes with a reset.

Why this works: a reset drops the send buffer. What was sent already may have arrived, so the attempt still counts as one that may have been executed. Without unsent bytes nothing changes.

Before: TestAttemptIsNotCompletedAfterCancel and TestAttemptIsNotCompletedAfterDeadline failed for two of five sizes each. After: they pass.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -72,6 +72,28 @@
 // UnreadBytes returns how many bytes have arrived on a connection and were not read, or 0 if the kernel does not tell. It
 // also works on a connection that ShutdownIfIdle has shut down.
 func UnreadBytes(conn net.Conn) int {
+	return queuedBytes(conn, unix.TIOCINQ)
+}
+
+// UnsentBytes returns how many bytes that were written to a connection the kernel has not sent yet, or 0 if it does not tell.
+// Bytes that were sent and are not acknowledged do not count.
+func UnsentBytes(conn net.Conn) int {
+	return queuedBytes(conn, unix.SIOCOUTQNSD)
+}
+
+// DiscardUnsentAtClose makes the Close of a connection discard the bytes that were not sent by then, by a reset. If there are
+// none now, it changes nothing.
+func DiscardUnsentAtClose(conn net.Conn) {
+	if UnsentBytes(conn) == 0 {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails on a closed connection
+	}
+}
+
+// queuedBytes returns the size of one of the kernel's queues of a connection, as an ioctl tells it, or 0 if that fails.
+func queuedBytes(conn net.Conn, request uint) int {
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
 		return 0
@@ -80,12 +102,12 @@
 	if err != nil {
 		return 0
 	}
-	unread := 0
-	_ = rawConn.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // fails on a closed one
+	queued := 0
+	_ = rawConn.Control(func(fd uintptr) { queued, err = unix.IoctlGetInt(int(fd), request) }) // fails on a closed one
 	if err != nil {
 		return 0
 	}
-	return unread
+	return queued
 }
 
 // TrySend sends as much of a message as fits into the send buffer. It never blocks.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,6 +28,7 @@
 	RoundTrip(attempt dispatcher.Attempt, mayStart func() bool) RoundTripResult
 	// IsIdle reports whether a connection without an attempt is still open and has no unread bytes.
 	IsIdle() bool
+	// Close closes the connection. What has not been sent by then is never sent.
 	Close() error
 }
 
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -83,5 +83,11 @@
 	return ReasonNone
 }
 
+// Close implements Conn. An orderly close would send what waits in the send buffer, however late the target takes it.
+func (c *httpConn) Close() error {
+	socket.DiscardUnsentAtClose(c.Conn)
+	return c.Conn.Close()
+}
+
 // IsIdle implements Conn.
 func (c *httpConn) IsIdle() bool { return socket.IsOpenAndIdle(c.Conn) }
