upstream: a repeat is not finished after its window

Cause: the end of the window for repeats was checked before the first byte of an attempt. For its other parts only the client's presence was checked, and nobody looked at what the kernel had taken and not sent. A target that stops reading in the middle of a repeat and goes on after the window gets the rest then, and no longer discards the repeat.

The wait for room ends with the window, and after a repeat is written the attempt waits until the kernel has sent it, or resets the connection at the end of the window. StartBy and StartWithin, which bound the first byte, are SendBy and SendWithin, which bound the last. Whether a target drains is checked before the first byte only, as the protocol counts it.

Why this works: a target begins with the last byte, and no byte leaves after the window: none is written, and what was written is dropped by the reset. An attempt that was not written completely is reported as not executed and not as the target's failure.

TestDeadlineClearedAfterAttempt also records the read and the write deadline, which are set apart now.

--- a/internal/dispatcher/actions.go
+++ b/internal/dispatcher/actions.go
@@ -59,8 +59,8 @@
 		ClientClosed:    state.call.ClientClosed,
 		Payload:         state.call.Payload,
 	}
-	if action.StartWithin > 0 {
-		attempt.StartBy = now.Add(action.StartWithin)
+	if action.SendWithin > 0 {
+		attempt.SendBy = now.Add(action.SendWithin)
 	}
 	d.logCall(eventAttemptDispatched, state.call, slog.Int(fieldAttempt, attempt.Number),
 		slog.String(fieldTarget, attempt.Target), slog.Duration(fieldAttemptTimeout, action.Timeout))
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -79,7 +79,7 @@
 	ClientRequestID string // given by the client, for logs; may be empty
 	Number          int    // number of the attempt within its request, from 0
 	Target          string
-	StartBy         time.Time   // latest time for sending the first byte; zero: no bound
+	SendBy          time.Time   // no byte may be sent from this time on; zero: no bound but Deadline
 	Deadline        time.Time   // when the attempt times out
 	ClientClosed    func() bool // ClientClosed of the call
 	Payload         any         // Payload of the call
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -284,7 +284,7 @@
 
 // TestRetryStartsWithinDedupWindow checks that a retry of a request with an idempotency key must start within the dedup
 // window of its class, since targets discard duplicates only in that time. The dispatcher must convert the scheduler's
-// StartWithin to the attempt's StartBy.
+// SendWithin to the attempt's SendBy.
 func TestRetryStartsWithinDedupWindow(t *testing.T) {
 	const dedupWindow = time.Second
 	h := newHarness(t)
@@ -292,7 +292,7 @@
 		h.upstream.sent = nil
 		h.receive(callSubmitted{h.newCall(class, h.now)})
 		began := h.now
-		if len(h.upstream.sent) != 1 || !h.upstream.sent[0].StartBy.IsZero() {
+		if len(h.upstream.sent) != 1 || !h.upstream.sent[0].SendBy.IsZero() {
 			t.Fatalf("%s: attempts %+v, want one that may start at any time", class, h.upstream.sent)
 		}
 		h.receive(attemptEnded{h.upstream.result(scheduler.ConnectionReset)})
@@ -304,8 +304,8 @@
 		if class == "keyed" {
 			want = began.Add(dedupWindow)
 		}
-		if got := h.upstream.sent[1].StartBy; !got.Equal(want) {
-			t.Errorf("%s: retry has StartBy %v, want %v", class, got, want)
+		if got := h.upstream.sent[1].SendBy; !got.Equal(want) {
+			t.Errorf("%s: retry has SendBy %v, want %v", class, got, want)
 		}
 		h.receive(attemptEnded{h.upstream.result(scheduler.Succeeded)})
 	}
--- a/internal/nvme/targetqueue.go
+++ b/internal/nvme/targetqueue.go
@@ -46,7 +46,7 @@
 	q.setDeadline(attempt.Deadline)
 	written, err := socket.WriteWhile(q.Conn, capsule, upstream.MayWrite(attempt, mayStart))
 	if written < len(capsule) {
-		return upstream.NotWritten(written, err)
+		return upstream.NotWritten(attempt, written, err)
 	}
 	finalStatus, data, err := e.run()
 	if err != nil {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -156,10 +156,10 @@
 }
 
 // mayStart is the last check before the first byte of an attempt. It returns false, and the attempt ends as NotSent, for one
-// of four reasons: the target is no longer serving; StartBy has passed; the connection was closed or has unread bytes, which
+// of four reasons: the target is no longer serving; SendBy has passed; the connection was closed or has unread bytes, which
 // cannot be the response; the client has closed its connection. The last two can change at any time, so they come last.
 func (t *target) mayStart(a *inFlightAttempt, c *pooledConn) bool {
-	if !a.StartBy.IsZero() && !time.Now().Before(a.StartBy) {
+	if !a.SendBy.IsZero() && !time.Now().Before(a.SendBy) {
 		return false
 	}
 	return t.isServing() && c.IsIdle() && !a.clientGone()
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -190,27 +190,27 @@
 	}
 }
 
-// TestNoAttemptStartsAfterStartBy checks that nothing of an attempt is sent if its StartBy passes before it has a
+// TestNoAttemptStartsAfterSendBy checks that nothing of an attempt is sent if its SendBy passes before it has a
 // connection.
-func TestNoAttemptStartsAfterStartBy(t *testing.T) {
+func TestNoAttemptStartsAfterSendBy(t *testing.T) {
 	server := newFakeTarget(t, respondOK)
 	registry := newTestRegistry(server.Addr().String())
-	send := func(startBy time.Time) dispatcher.AttemptResult {
+	send := func(sendBy time.Time) dispatcher.AttemptResult {
 		registry.Send(dispatcher.Attempt{
 			RequestID: "r",
 			Target:    testTarget,
-			StartBy:   startBy,
+			SendBy:    sendBy,
 			Deadline:  time.Now().Add(time.Minute),
 			Payload:   &httpmsg.Request{Method: "GET", URI: "/r/1", ID: "id"},
 		})
 		return registry.result(t)
 	}
 	if result := send(time.Now()); result.Status != scheduler.NotSent || server.requests.Load() != 0 {
-		t.Errorf("after StartBy: got status %v with %d requests at the target, want NOT_SENT with none",
+		t.Errorf("after SendBy: got status %v with %d requests at the target, want NOT_SENT with none",
 			result.Status, server.requests.Load())
 	}
 	if result := send(time.Now().Add(time.Minute)); result.Status != scheduler.Succeeded {
-		t.Errorf("before StartBy: got status %v, want SUCCEEDED", result.Status)
+		t.Errorf("before SendBy: got status %v, want SUCCEEDED", result.Status)
 	}
 }
 
--- a/internal/upstream/closereason.go
+++ b/internal/upstream/closereason.go
@@ -22,6 +22,7 @@
 	ReasonConnectFailed    CloseReason = "CONNECT_FAILED"
 	ReasonNotSent          CloseReason = "NOT_SENT"
 	ReasonCancelled        CloseReason = "CANCELLED"
+	ReasonUnsentAtSendBy   CloseReason = "UNSENT_AT_SEND_BY" // the target had not taken all of a repeat in time
 	ReasonReadStalled      CloseReason = "READ_STALLED"
 	ReasonResponseTooLarge CloseReason = "RESPONSE_TOO_LARGE"
 	ReasonConnectionClose  CloseReason = "CONNECTION_CLOSE" // the target asked for it, or sent more than its response
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -18,9 +18,9 @@
 type Conn interface {
 	// RoundTrip sends an attempt and waits for its result. It calls mayStart right before the first byte that could make the
 	// target start the request. If mayStart returns false, it sends nothing and the status is NotSent: while the connection
-	// was being established, the target may have stopped serving, the client may have closed its connection, or StartBy may
-	// have passed. If the client closes its connection while a part of the request is written, the rest is not sent, and the
-	// status is NotSent too. A call of Close from another goroutine ends the round trip early.
+	// was being established, the target may have stopped serving, the client may have closed its connection, or SendBy may
+	// have passed. If the client closes its connection or SendBy passes while a part of the request is written, the rest is not
+	// sent, and the status is NotSent too. A call of Close from another goroutine ends the round trip early.
 	//
 	// The status is ConnectFailed if the attempt was not sent completely, and so cannot have executed, because a write
 	// failed or timed out; a failed dial has the same status. The status is ConnectionReset if the attempt was sent
@@ -42,29 +42,6 @@
 	WriteTook time.Duration
 }
 
-// MayWrite returns the check before each part of an attempt's request, for socket.WriteWhile: mayStart before the first one,
-// and for the rest whether the client is still there, since the target can begin only with the last byte.
-func MayWrite(attempt dispatcher.Attempt, mayStart func() bool) func(written int) bool {
-	return func(written int) bool {
-		if written == 0 {
-			return mayStart()
-		}
-		return attempt.ClientClosed == nil || !attempt.ClientClosed()
-	}
-}
-
-// NotWritten returns the result of an attempt whose request was not written completely. err is the error of the write, or
-// nil if the check before it returned false.
-func NotWritten(written int, err error) RoundTripResult {
-	switch {
-	case err != nil:
-		return NoResponse(scheduler.ConnectFailed, WriteErrorReason(err))
-	case written > 0:
-		return NoResponse(scheduler.NotSent, ReasonCancelled)
-	}
-	return NoResponse(scheduler.NotSent, ReasonNotSent)
-}
-
 // Reusable reports whether the connection can carry another attempt.
 func (r *RoundTripResult) Reusable() bool { return r.CloseReason == ReasonNone }
 
--- a/internal/upstream/connpool_test.go
+++ b/internal/upstream/connpool_test.go
@@ -99,6 +99,16 @@
 	return r.Conn.SetDeadline(t)
 }
 
+func (r *deadlineRecorder) SetReadDeadline(t time.Time) error {
+	r.deadline = t
+	return r.Conn.SetReadDeadline(t)
+}
+
+func (r *deadlineRecorder) SetWriteDeadline(t time.Time) error {
+	r.deadline = t
+	return r.Conn.SetWriteDeadline(t)
+}
+
 // TestDeadlineClearedAfterAttempt checks that an attempt leaves no deadline on its connection.
 //
 // It guards against a pool that closes healthy connections: the check of an idle connection failed because the deadline of
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -9,6 +9,7 @@
 	"dapplegate/internal/httpmsg"
 	"dapplegate/internal/memorybudget"
 	"dapplegate/internal/socket"
+	"dapplegate/scheduler"
 )
 
 // HTTPDialer opens HTTP/1.1 connections, which share one memory budget for the response bodies that they read.
@@ -42,16 +43,20 @@
 // target cannot have started the attempt; afterwards, the attempt may have executed. The attempt's deadline applies to the
 // write and to the read of head and body.
 func (c *httpConn) RoundTrip(attempt dispatcher.Attempt, mayStart func() bool) RoundTripResult {
-	// SetDeadline fails only on a closed connection, and then the write fails too.
-	_ = c.SetDeadline(attempt.Deadline)
+	// These fail only on a closed connection, and then the write fails too.
+	_ = c.SetReadDeadline(attempt.Deadline)
+	_ = c.SetWriteDeadline(sendDeadline(attempt))
 	request := attempt.Payload.(*httpmsg.Request)
 	message := encodeRequest(request, c.host, time.Until(attempt.Deadline))
 	checkedAt := time.Now()
 	written, err := socket.WriteWhile(c.Conn, message, MayWrite(attempt, mayStart))
 	if written < len(message) {
-		return NotWritten(written, err)
+		return NotWritten(attempt, written, err)
 	}
 	writtenAt := time.Now()
+	if !c.awaitSent(attempt) {
+		return NoResponse(scheduler.DeadlineExceeded, ReasonUnsentAtSendBy) // the last byte may still leave before the close
+	}
 	result := c.awaitResponse(request.Method, attempt.Deadline)
 	result.WriteTook = writtenAt.Sub(checkedAt)
 	return result
--- a/internal/upstream/sending_test.go
+++ b/internal/upstream/sending_test.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// TestRepeatIsNotCompletedAfterItsWindow guards against a repeat that is executed a second time, because its last bytes leave
+// this machine when targets no longer discard it.
+func TestRepeatIsNotCompletedAfterItsWindow(t *testing.T) {
+	testUnsentIsDiscarded(t, func(a *dispatcher.Attempt) { a.SendBy = time.Now().Add(sendTime) }, func(*testRegistry) {},
+		scheduler.NotSent, scheduler.DeadlineExceeded)
+}
+
 // TestAttemptIsNotCompletedAfterCancel guards against an attempt whose last bytes wait in the send buffer and arrive long after
 // its client has closed.
 func TestAttemptIsNotCompletedAfterCancel(t *testing.T) {
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -48,9 +48,9 @@
 		Timeout:   min(s.attemptTimeout(t, r), untilDeadline),
 	}
 	if r.needsDedup() {
-		// If opening the connection takes long, the retry could arrive when targets no longer discard it
-		// as a duplicate. The caller sends no first byte after this time.
-		action.StartWithin = r.dedupEndsAt() - s.now
+		// If opening the connection or sending takes long, the retry could arrive when targets no longer
+		// discard it as a duplicate. The caller sends nothing after this time.
+		action.SendWithin = r.dedupEndsAt() - s.now
 	}
 	return action
 }
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -21,12 +21,12 @@
 	h.endAttempt("a", ConnectionReset, 50*ms)
 	h.endAttempt("b", ConnectionReset, 50*ms)
 	h.advance(200 * ms)
-	if len(h.sends) < 3 || h.sends[0].StartWithin != 0 {
-		t.Fatalf("sends %+v, want two first attempts without StartWithin and at least one retry", h.sends)
+	if len(h.sends) < 3 || h.sends[0].SendWithin != 0 {
+		t.Fatalf("sends %+v, want two first attempts without SendWithin and at least one retry", h.sends)
 	}
 	for i, retry := range h.sends[2:] {
-		if retry.StartWithin <= 0 || retry.StartWithin > 450*ms {
-			t.Errorf("retry %d has StartWithin %v, want more than 0 and at most 450ms", i, retry.StartWithin)
+		if retry.SendWithin <= 0 || retry.SendWithin > 450*ms {
+			t.Errorf("retry %d has SendWithin %v, want more than 0 and at most 450ms", i, retry.SendWithin)
 		}
 	}
 	h.step(EndpointList{Targets: []Target{{ID: testTarget, State: Draining}}})
