upstream: a late copy of a response makes the connections to all targets rest longer

Cause: a connection was reused 10 ms after a response, which covers the time that a copy may leave later, but not the time that the network takes longer for it.

Change: data on an idle connection closes it, as before, and now makes the connections to all targets rest for 45 ms for a minute. It is logged with its delay, and the close has a reason of its own.

Why this works, and how far: 45 ms are 10 ms for the copy, 32 ms for the network and 3 ms for this process. Most copies arrive within 10 ms, so that the first of them makes the rest long enough for the others.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -97,7 +97,7 @@
 // awaitQuarantine closes it and returns false. It returns true if the context is done first: the connection goes back to the
 // pool, and exchange ends the attempt.
 func (t *target) awaitQuarantine(ctx context.Context, c *pooledConn) bool {
-	remaining := c.quarantineRemaining()
+	remaining := t.quarantine.remaining(c)
 	if remaining <= 0 {
 		return true
 	}
@@ -111,8 +111,9 @@
 	if c.IsIdle() {
 		return true
 	}
+	reason := t.quarantine.notIdleReason(c, t.log)
 	c.closeIgnoringError()
-	t.log.closed(c.uses, ReasonClosedWhileIdle, "")
+	t.log.closed(c.uses, reason, "")
 	return false
 }
 
@@ -162,5 +163,12 @@
 	if !a.SendBy.IsZero() && !time.Now().Before(a.SendBy) {
 		return false
 	}
-	return t.isServing() && c.IsIdle() && !a.clientGone()
+	if !t.isServing() {
+		return false
+	}
+	if !c.IsIdle() {
+		t.quarantine.notIdleReason(c, t.log)
+		return false
+	}
+	return !a.clientGone()
 }
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -228,7 +228,7 @@
 	defer closeQuietly(conn)
 	inQuarantine := &pooledConn{Conn: conn, uses: 1, returnedAt: time.Now().Add(testTimeout)}
 	var result dispatcher.AttemptResult
-	actor := newTarget(testTarget, Options{Logger: slog.New(slog.DiscardHandler)}, new(atomic.Int64),
+	actor := newTarget(testTarget, Options{Logger: slog.New(slog.DiscardHandler)}, new(atomic.Int64), &quarantine{},
 		func(r dispatcher.AttemptResult) { result = r })
 	actor.update(server.Addr().String(), scheduler.Serving)
 	deadline := time.Now().Add(time.Millisecond)
--- a/internal/upstream/closereason.go
+++ b/internal/upstream/closereason.go
@@ -28,6 +28,7 @@
 	ReasonConnectionClose  CloseReason = "CONNECTION_CLOSE" // the target asked for it, or sent more than its response
 	ReasonClosed           CloseReason = "CLOSED"           // closed by this process while the attempt ended
 	ReasonClosedWhileIdle  CloseReason = "CLOSED_WHILE_IDLE"
+	ReasonUnrequestedData  CloseReason = "UNREQUESTED_DATA" // such as the second copy of a response
 	ReasonPoolIdleTimeout  CloseReason = "POOL_IDLE_TIMEOUT"
 	ReasonTargetNotServing CloseReason = "TARGET_NOT_SERVING" // draining or removed
 	ReasonAddressChanged   CloseReason = "ADDRESS_CHANGED"
--- a/internal/upstream/connlog.go
+++ b/internal/upstream/connlog.go
@@ -22,6 +22,15 @@
 		slog.String("request", clientRequestID))
 }
 
+// unrequestedData logs that the target has sent something, such as a second copy of its response, on a connection without an
+// attempt. delay is how long after the response that arrived, at the most.
+func (l connLog) unrequestedData(delay time.Duration) {
+	l.logger.Info("unrequested data",
+		slog.String("side", "target"),
+		slog.String("target", l.targetID),
+		slog.Duration("after_response", delay))
+}
+
 // dialFailed logs why a dial failed.
 func (l connLog) dialFailed(address string, err error) {
 	l.logger.Info("connection failed",
--- a/internal/upstream/connpool.go
+++ b/internal/upstream/connpool.go
@@ -7,11 +7,6 @@
 )
 
 const (
-	// quarantineTime is how long a connection is not reused after a response. Targets send some responses twice, a few
-	// milliseconds apart. If the next request were sent before the second copy arrives, the copy would be taken for the
-	// response to that request. A copy that arrives during the quarantine is detected by IsIdle, and the connection is
-	// closed.
-	quarantineTime = 10 * time.Millisecond
 	// maxConnsForQuarantine is how many connections to a target may be opened only because all idle ones are in quarantine.
 	// With that many open, an attempt waits for the end of a quarantine instead.
 	maxConnsForQuarantine = 4
@@ -25,15 +20,6 @@
 	returnedAt time.Time
 }
 
-// quarantineRemaining returns how long the quarantine still lasts. The result is not positive if the connection is usable
-// now.
-func (c *pooledConn) quarantineRemaining() time.Duration {
-	if c.uses == 0 {
-		return 0
-	}
-	return quarantineTime - c.idleTime()
-}
-
 // idleTime returns how long the connection has been idle, or 0 if it was never in the pool.
 func (c *pooledConn) idleTime() time.Duration {
 	if c.returnedAt.IsZero() {
@@ -50,6 +36,7 @@
 type connPool struct {
 	options        Options
 	log            connLog
+	quarantine     *quarantine
 	idle           []*pooledConn // in the order in which they were returned
 	openConns      int           // idle, in use or being dialed
 	totalOpenConns *atomic.Int64 // sum of openConns over the pools of all targets
@@ -78,7 +65,7 @@
 // takeReady takes the most recently used idle connection that is not in quarantine. It returns nil if there is none.
 func (p *connPool) takeReady() *pooledConn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if p.idle[i].quarantineRemaining() > 0 {
+		if p.quarantine.remaining(p.idle[i]) > 0 {
 			continue
 		}
 		if c := p.takeIfIdle(i); c != nil {
@@ -108,7 +95,7 @@
 	if c.IsIdle() {
 		return c
 	}
-	p.discard(c, ReasonClosedWhileIdle)
+	p.discard(c, p.quarantine.notIdleReason(c, p.log))
 	return nil
 }
 
--- a/internal/upstream/connpool_test.go
+++ b/internal/upstream/connpool_test.go
@@ -29,6 +29,7 @@
 	return &connPool{
 		options:        Options{IdleTimeout: time.Minute, MaxConnsPerTarget: maxConns, MaxConns: maxConns},
 		log:            connLog{logger: slog.New(slog.DiscardHandler)},
+		quarantine:     &quarantine{},
 		totalOpenConns: &atomic.Int64{},
 	}
 }
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -185,7 +185,7 @@
 // newTestTarget returns an actor in a state, without starting its run.
 func newTestTarget(state scheduler.TargetState) *target {
 	options := Options{Logger: slog.New(slog.DiscardHandler)}
-	actor := newTarget(testTarget, options, nil, func(dispatcher.AttemptResult) {})
+	actor := newTarget(testTarget, options, nil, &quarantine{}, func(dispatcher.AttemptResult) {})
 	actor.update("a:1", state)
 	return actor
 }
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -40,6 +40,7 @@
 	options        Options
 	reportResult   func(dispatcher.AttemptResult)
 	totalOpenConns atomic.Int64 // connections to all targets, including those being dialed
+	quarantine     quarantine   // of the connections to all targets
 
 	mu      sync.Mutex
 	targets map[string]*target
@@ -92,7 +93,7 @@
 
 // addTarget adds a target and starts its actor.
 func (r *Registry) addTarget(id string) *target {
-	t := newTarget(id, r.options, &r.totalOpenConns, r.reportResult)
+	t := newTarget(id, r.options, &r.totalOpenConns, &r.quarantine, r.reportResult)
 	r.targets[id] = t
 	go func() {
 		t.run()
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -26,6 +26,7 @@
 	reportResult func(dispatcher.AttemptResult)
 	log          connLog
 	mailbox      *mailbox.Mailbox[message]
+	quarantine   *quarantine // of the connections to all targets
 
 	// The registry writes state and addr. The state is read when an attempt starts and right before its first byte, the
 	// address when a connection is dialed, and both when idle connections are pruned.
@@ -42,8 +43,9 @@
 	retired  bool                        // the target was removed from the registry
 }
 
-// newTarget returns an actor, whose run the caller starts. totalOpenConns counts the connections to all targets.
-func newTarget(id string, options Options, totalOpenConns *atomic.Int64,
+// newTarget returns an actor, whose run the caller starts. totalOpenConns counts the connections to all targets, and rest is
+// their quarantine.
+func newTarget(id string, options Options, totalOpenConns *atomic.Int64, rest *quarantine,
 	reportResult func(dispatcher.AttemptResult)) *target {
 	log := connLog{logger: options.Logger, targetID: id}
 	return &target{
@@ -52,7 +54,8 @@
 		reportResult: reportResult,
 		log:          log,
 		mailbox:      mailbox.New[message](),
-		pool:         connPool{options: options, log: log, totalOpenConns: totalOpenConns},
+		quarantine:   rest,
+		pool:         connPool{options: options, log: log, quarantine: rest, totalOpenConns: totalOpenConns},
 		inFlight:     map[string]*inFlightAttempt{},
 	}
 }
