--- a/internal/faulttest/regression_test.go
+++ b/internal/faulttest/regression_test.go
@@ -76,6 +76,13 @@
 
 // newFixtureWithConfig is like newFixtureWithFaults, but with the given configuration, whose addresses it sets.
 func newFixtureWithConfig(t *testing.T, config Config, drawBehaviour func(*rand.Rand) Behaviour, decide faultFunc) *fixture {
+	t.Helper()
+	return newFixtureBehindNetwork(t, config, drawBehaviour, decide, func(targetAddr string) string { return targetAddr })
+}
+
+// newFixtureBehindNetwork is like newFixtureWithConfig, but network returns the address at which the target is listed.
+func newFixtureBehindNetwork(t *testing.T, config Config, drawBehaviour func(*rand.Rand) Behaviour, decide faultFunc,
+	network func(targetAddr string) string) *fixture {
 	t.Helper()
 	f := &fixture{delays: NewDelayMonitor()}
 	t.Cleanup(f.delays.Stop)
@@ -87,7 +94,7 @@
 	t.Cleanup(target.Stop)
 	f.discovery = NewDiscovery(f.history)
 	t.Cleanup(f.discovery.Stop)
-	f.discovery.Set(Endpoint{ID: "s-1", Addr: target.Addr().String(), State: Serving})
+	f.discovery.Set(Endpoint{ID: "s-1", Addr: network(target.Addr().String()), State: Serving})
 	discoveryAddr, err := f.discovery.Listen()
 	if err != nil {
 		t.Fatal(err)
@@ -177,6 +184,36 @@
 	}
 }
 
+// TestLateCopyOverSlowNetworkIsNotUsedForNextRequest guards against a second copy of a response that arrives after the
+// quarantine, because the network took longer for it than for the response, and is taken for the response to another request.
+func TestLateCopyOverSlowNetworkIsNotUsedForNextRequest(t *testing.T) {
+	const clientCount, requestsEach = 24, 60
+	f := newFixtureBehindNetwork(t, Config{Classes: []Class{readClass}, Cores: 1, Sockets: 512}, func(rng *rand.Rand) Behaviour {
+		return Behaviour{Delay: time.Duration(rng.IntN(3000)) * time.Microsecond,
+			RepeatAfter: time.Duration(1+rng.IntN(8000)) * time.Microsecond}
+	}, nil, func(targetAddr string) string {
+		network, err := newDelayingNetwork(targetAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(network.Stop)
+		return network.Addr().String()
+	})
+	var clients sync.WaitGroup
+	for i := range clientCount {
+		clients.Go(func() {
+			for j := range requestsEach {
+				f.client.Do(Request{ID: fmt.Sprintf("r%d-%d", i, j), Class: readClass, Timeout: readClass.Deadline})
+			}
+		})
+	}
+	clients.Wait()
+	f.check(t)
+	if requests, served := f.history.Counts(); served < requests*9/10 {
+		t.Errorf("%d of %d requests were served, want at least 90%%", served, requests)
+	}
+}
+
 // TestRequestInFlightGetsResponseBeforeSIGKILL checks that a request in flight at SIGTERM gets a response before SIGKILL.
 //
 // A target hangs, a client sends a request with a timeout of 5 s, and the initiator gets SIGTERM at once. SIGKILL follows
