--- a/cmd/initiator/memorywatch_test.go
+++ b/cmd/initiator/memorywatch_test.go
@@ -1,35 +1,16 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"dapplegate/internal/config"
+	"dapplegate/internal/logbuffer"
 )
 
-// syncBuffer is a log that can be read while it is written.
-type syncBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *syncBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *syncBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
 // TestHighMemoryUseIsLoggedWithTableSizes checks that an operator sees what fills the memory before the limit is reached.
 func TestHighMemoryUseIsLoggedWithTableSizes(t *testing.T) {
 	b := newTestbed(t)
@@ -38,7 +19,7 @@
 		t.Fatal(err)
 	}
 	cfg.Limits.MemoryMiB = 1 // any process uses more than half of it
-	var log syncBuffer
+	var log logbuffer.Buffer
 	in, err := newInitiator(cfg, &config.OperatorFile{}, slog.New(slog.NewTextHandler(&log, nil)))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/clienthttp/conntable_test.go
+++ b/internal/clienthttp/conntable_test.go
@@ -7,11 +7,11 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"dapplegate/internal/dispatcher"
+	"dapplegate/internal/logbuffer"
 )
 
 // TestConnectionLimitEvictsIdle reaches the limit with idle connections. A new connection must still be served, and the
@@ -137,7 +137,7 @@
 // TestAnnouncedCloseIsLoggedAsResponded gets a response that announces the close of its connection. Operators who look
 // for requests without a response must not find this one logged as in flight.
 func TestAnnouncedCloseIsLoggedAsResponded(t *testing.T) {
-	var log lockedBuffer
+	var log logbuffer.Buffer
 	s := newTestServer(newFakeDispatcher(), maxTestConns)
 	s.conns.log = slog.New(slog.NewTextHandler(&log, nil))
 	l := listen(t)
@@ -156,21 +156,3 @@
 		t.Errorf("logged %q, want state=RESPONDED", got)
 	}
 }
-
-// lockedBuffer collects log output, and may be read while it is written.
-type lockedBuffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -1,7 +1,6 @@
 package faulttest
 
 import (
-	"bytes"
 	"fmt"
 	"net/http"
 	"os"
@@ -10,12 +9,13 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"dapplegate/internal/logbuffer"
 )
 
 // BuildInitiator builds the initiator in the directory dir and returns the path of the binary.
@@ -44,23 +44,11 @@
 	Config     Config
 	configPath string
 	pid        int
-	log        lockedBuffer
+	log        logbuffer.Buffer
 	exited     chan struct{}
 	err        error // why it exited; valid once exited is closed
 }
 
-// lockedBuffer collects a process's log. It can be read while the process writes to it.
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
 // Start starts the initiator binary with the given configuration, which it writes to dir, and waits until the initiator is
 // ready. It injects the faults into the initiator's system calls, unless faults is nil.
 func Start(program, dir string, config Config, faults syscallFaults) (*Process, error) {
@@ -266,10 +254,8 @@
 }
 
 func (p *Process) filterLog(matches func(line string) bool) string {
-	p.log.mu.Lock()
-	defer p.log.mu.Unlock()
 	var lines strings.Builder
-	for line := range strings.Lines(p.log.buf.String()) {
+	for line := range strings.Lines(p.log.String()) {
 		if matches(line) {
 			lines.WriteString(line)
 		}
--- a/internal/upstream/latedata_test.go
+++ b/internal/upstream/latedata_test.go
@@ -5,32 +5,14 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"dapplegate/internal/dispatcher"
+	"dapplegate/internal/logbuffer"
 	"dapplegate/scheduler"
 )
 
-// lockedLog is a log that several goroutines write.
-type lockedLog struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *lockedLog) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-func (l *lockedLog) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
 // TestLateCopyMakesQuarantineLonger has a target send a copy of its response after the quarantine, while the connection is idle.
 // The copy must end the connection, be logged with its delay, and make the quarantine longer for a while.
 func TestLateCopyMakesQuarantineLonger(t *testing.T) {
@@ -47,7 +29,7 @@
 		}()
 		return respond(conn, "200 OK", "first")
 	})
-	var log lockedLog
+	var log logbuffer.Buffer
 	registry := &testRegistry{results: make(chan dispatcher.AttemptResult, 1)}
 	registry.Registry = NewRegistry(Options{
 		Dialer:            NewHTTPDialer(0),
