syscallfault: works on arm64

Cause: the files of internal/syscallfault were built on amd64 alone, so go vet and the tests stopped on arm64.

Change: the lines that read and write registers stand in one file for each machine.

--- a/internal/faulttest/soak_syscalls_test.go
+++ b/internal/faulttest/soak_syscalls_test.go
@@ -38,7 +38,7 @@
 	unix.SYS_SOCKET:      {errors: []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS}, errorRate: 0.05},
 	unix.SYS_CONNECT:     {errors: []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENETUNREACH}, errorRate: 0.05},
 	unix.SYS_EPOLL_PWAIT: {errors: []syscall.Errno{syscall.EINTR}, errorRate: 0.05},
-	unix.SYS_POLL:        {errors: []syscall.Errno{syscall.EINTR}, errorRate: 0.2},
+	syscallfault.Poll:    {errors: []syscall.Errno{syscall.EINTR}, errorRate: 0.2},
 	unix.SYS_PPOLL:       {errors: []syscall.Errno{syscall.EINTR}, errorRate: 0.2},
 	unix.SYS_READ:        {errors: []syscall.Errno{syscall.EINTR}, errorRate: 0.05, shortRate: 0.1},
 	unix.SYS_RECVFROM:    {errors: []syscall.Errno{syscall.EINTR}, errorRate: 0.1},
--- a/internal/faulttest/syscall_test.go
+++ b/internal/faulttest/syscall_test.go
@@ -20,7 +20,7 @@
 
 // isPoll reports whether the call polls a descriptor for the events.
 func isPoll(call syscallfault.Call, events int16) bool {
-	return (call.Number == unix.SYS_POLL || call.Number == unix.SYS_PPOLL) && call.PollEvents()&events != 0
+	return (call.Number == syscallfault.Poll || call.Number == unix.SYS_PPOLL) && call.PollEvents()&events != 0
 }
 
 // isWrite reports whether the call writes to a descriptor.
--- a/internal/syscallfault/process_linux_amd64.go
+++ b/internal/syscallfault/process_linux.go
@@ -13,10 +13,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// Stop signals, registers and options of ptrace(2).
+// Stop signals and options of ptrace(2).
 const (
 	syscallStop      = syscall.SIGTRAP | 0x80 // with PTRACE_O_TRACESYSGOOD
-	noSyscall        = ^uint64(0)             // as the number of a call: the kernel makes none
 	traceOptions     = unix.PTRACE_O_TRACESYSGOOD | unix.PTRACE_O_TRACECLONE | unix.PTRACE_O_EXITKILL
 	waitOptions      = unix.WALL | unix.WNOTHREAD // of this thread's tracees
 	statusEventShift = 16
@@ -218,29 +217,13 @@
 	}
 	p.inCall[thread] = fault
 	time.Sleep(fault.HoldBefore)
-	var registers unix.PtraceRegs
-	if unix.PtraceGetRegs(thread, &registers) != nil {
-		return
-	}
-	switch {
-	case fault.Errno != 0:
-		registers.Orig_rax = noSyscall
-	case fault.MaxBytes > 0:
-		registers.Rdx = min(registers.Rdx, fault.MaxBytes)
-	default:
-		return
-	}
-	_ = unix.PtraceSetRegs(thread, &registers) // fails if the process was killed meanwhile
+	changeCall(thread, fault) // fails if the process was killed meanwhile
 }
 
 // endCall sets the result of a call that fails, and holds the process up after the call.
 func endCall(thread int, fault Fault) {
 	if fault.Errno != 0 {
-		var registers unix.PtraceRegs
-		if unix.PtraceGetRegs(thread, &registers) == nil {
-			registers.Rax = uint64(-int64(fault.Errno))
-			_ = unix.PtraceSetRegs(thread, &registers) // fails if the process was killed meanwhile
-		}
+		setResult(thread, uint64(-int64(fault.Errno))) // fails if the process was killed meanwhile
 	}
 	time.Sleep(fault.HoldAfter)
 }
