review/7: half of an answer is served as a whole one when its length does not fit

Cause: an answer with more bytes than its Content-Length counts as a success; only the connection is closed.

Change: a case of the review. Nothing of the product changes.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -27,6 +27,7 @@
 // cases holds the function that plays each case. It returns the breaks of the rule.
 var cases = map[string]func(*bench) ([]string, error){
 	"6": playHugeBodies,
+	"7": playSpoiltLengths,
 }
 
 func main() {
