review/8: no answers while most targets of a large fleet are replaced

Cause: each list costs the scheduler time by the square of the number of targets, and the watcher takes lists faster than the dispatcher applies them.

Change: a case of the review. Nothing of the product changes.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(*bench) ([]string, error){
 	"6": playHugeBodies,
 	"7": playSpoiltLengths,
+	"8": playReplacedFleet,
 }
 
 func main() {
