review/9: two hold-ups in a restart leave requests unanswered at SIGKILL

Cause: 0.2 s lie between the last answers of a shutdown and SIGKILL, and the schedule begins when the process handles SIGTERM. A hold-up of 0.14 s then and one at the end take more.

Change: a case of the review. Nothing of the product changes.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -29,6 +29,7 @@
 	"6": playHugeBodies,
 	"7": playSpoiltLengths,
 	"8": playReplacedFleet,
+	"9": playHeldUpRestart,
 }
 
 func main() {
