review/10: a large fleet and hundreds of long writes exceed the memory limit

Cause: the budgets for clients and answers are fractions of the whole memory, whatever the targets take.

Change: a case of the review. Nothing of the product changes.

--- a/review/standin2/bench.go
+++ b/review/standin2/bench.go
@@ -192,8 +192,16 @@
 	client *client
 }
 
-// deploy starts an agent with a list of targets, and one of so many initiators, on the limits of a small machine.
+// usualMemory is the memory of an initiator in MB, unless the case is about memory.
+const usualMemory = 192
+
+// deploy starts an agent with a list of targets, and one of so many initiators.
 func (b *bench) deploy(entries []entry, initiators, shards int, classes []class) (*deployment, error) {
+	return b.deployWithMemory(entries, initiators, shards, classes, usualMemory)
+}
+
+// deployWithMemory is deploy with a limit on memory, in MB.
+func (b *bench) deployWithMemory(entries []entry, initiators, shards int, classes []class, memoryMB int) (*deployment, error) {
 	agent, err := b.startDiscovery(entries)
 	if err != nil {
 		return nil, err
@@ -202,7 +210,7 @@
 	if err != nil {
 		return nil, err
 	}
-	in, err := b.start(initiatorConfig{name: "n1", listen: listen, discovery: agent.addr, memoryMB: 192, sockets: 1024,
+	in, err := b.start(initiatorConfig{name: "n1", listen: listen, discovery: agent.addr, memoryMB: memoryMB, sockets: 1024,
 		settings: settings(initiators, shards, classes)})
 	if err != nil {
 		return nil, err
--- a/review/standin2/case6.go
+++ b/review/standin2/case6.go
@@ -33,7 +33,7 @@
 	}
 	flooded := make(chan error, 1)
 	if b.trouble {
-		time.AfterFunc(hugeQuiet, func() { flooded <- b.startFlood(d.in.addr, hugeClients, hugeFor) })
+		time.AfterFunc(hugeQuiet, func() { flooded <- b.startFlood(floodHuge, d.in.addr, hugeClients, hugeFor) })
 	} else {
 		flooded <- nil
 	}
--- a/review/standin2/flood.go
+++ b/review/standin2/flood.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -19,14 +20,22 @@
 
 const (
 	hugeBody     = 60_000_000
+	longBody     = 64 << 10
+	floodShards  = 16                     // the shards that long writes name
 	floodPart    = 256 << 10              // bytes of one write
 	floodTimeout = 6 * time.Second        // how long a bad client with 60 MB to send waits for an error or a close
 	floodRedial  = 100 * time.Millisecond // its pause when it cannot connect
 )
 
+// The kinds of floods.
+const (
+	floodHuge = "bodies of 60 MB"
+	floodLong = "writes of 64 KiB" // hundreds at once, each again as soon as it is turned away
+)
+
 // startFlood starts bad clients in a process of their own. They end after the duration, or with the case.
-func (b *bench) startFlood(addr string, clients int, duration time.Duration) error {
-	cmd := exec.Command(os.Args[0], floodCommand, "-addr", addr, "-clients", strconv.Itoa(clients), "-for", duration.String())
+func (b *bench) startFlood(kind, addr string, clients int, duration time.Duration) error {
+	cmd := exec.Command(os.Args[0], floodCommand, "-kind", kind, "-addr", addr, "-clients", strconv.Itoa(clients), "-for", duration.String())
 	output, err := cmd.StdoutPipe()
 	if err != nil {
 		return err
@@ -35,7 +44,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	b.note("bad clients: %d begin to send bodies of %d bytes at full speed", clients, hugeBody)
+	b.note("bad clients: %d begin to send %s at full speed", clients, kind)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -65,6 +74,7 @@
 // runFlood runs the process of the bad clients.
 func runFlood(arguments []string) int {
 	flags := flag.NewFlagSet(floodCommand, flag.ContinueOnError)
+	kind := flags.String("kind", floodHuge, "what they send")
 	addr := flags.String("addr", "", "address of the initiator")
 	clients := flags.Int("clients", 1, "number of bad clients")
 	duration := flags.Duration("for", time.Second, "how long they send")
@@ -72,12 +82,16 @@
 		return exitFailed
 	}
 	var counts floodCounts
+	send := counts.sendHuge
+	if *kind == floodLong {
+		send = counts.sendLong
+	}
 	var running sync.WaitGroup
 	end := time.Now().Add(*duration)
 	for client := range *clients {
 		running.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				counts.sendHuge(*addr, client, n)
+				send(*addr, client, n, end)
 			}
 		})
 	}
@@ -88,7 +102,7 @@
 }
 
 // sendHuge sends one request with a body of 60 MB on a new connection, and reads what it is sent.
-func (f *floodCounts) sendHuge(addr string, client, n int) {
+func (f *floodCounts) sendHuge(addr string, client, n int, _ time.Time) {
 	conn, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
 		time.Sleep(floodRedial)
@@ -125,6 +139,35 @@
 	f.count(<-answer)
 }
 
+// sendLong sends writes of 64 KiB on a new connection, each as soon as the one before has its answer, until the connection
+// ends.
+func (f *floodCounts) sendLong(addr string, client, n int, end time.Time) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		time.Sleep(floodRedial)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	class := storeClasses()[1]
+	for k := 0; time.Now().Before(end); k++ {
+		r := read(k, class, client%floodShards)
+		r.id = fmt.Sprintf("%04x%06x%06x", client, n, k)
+		r.body = strings.Repeat("b", longBody)
+		o, keep := exchange(conn, r)
+		switch {
+		case o.err == nil:
+			f.count(strconv.Itoa(o.status))
+		case o.overdue(r):
+			f.count("overdue")
+		default:
+			f.count("close")
+		}
+		if !keep {
+			return
+		}
+	}
+}
+
 func (f *floodCounts) count(answer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,10 +26,11 @@
 
 // cases holds the function that plays each case. It returns the breaks of the rule.
 var cases = map[string]func(*bench) ([]string, error){
-	"6": playHugeBodies,
-	"7": playSpoiltLengths,
-	"8": playReplacedFleet,
-	"9": playHeldUpRestart,
+	"10": playLongBodiesInFleet,
+	"6":  playHugeBodies,
+	"7":  playSpoiltLengths,
+	"8":  playReplacedFleet,
+	"9":  playHeldUpRestart,
 }
 
 func main() {
