--- a/review/standin2/case8.go
+++ b/review/standin2/case8.go
@@ -2,70 +2,67 @@
 
 import (
 	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
 	"time"
 )
 
 const (
-	fleetTargets  = 3200
-	fleetPerAddr  = 16 // so many targets share an address of this stand-in
-	fleetReplaced = fleetTargets * 6 / 10
-	fleetReplace  = 7 * time.Second // in which they are replaced
-	fleetQuiet    = 2 * time.Second // before that
-	fleetDrain    = 200             // a target is gone when so many others have been replaced after it
-	fleetShards   = 16              // the shards that the clients read; their targets stay
-	fleetRequests = 600
-	fleetInterval = 25 * time.Millisecond // between two requests
+	spoiltTargets  = 4
+	spoiltRequests = 500
+	spoiltInterval = 20 * time.Millisecond // between two requests
+	spoiltBody     = 2000                  // bytes of an answer, about
+	spoiltOneIn    = 20                    // one answer in so many is spoilt
 )
 
-// playReplacedFleet plays a fleet of 3,200 targets of which six in ten are replaced within 7 s, and clients that read from
-// others. It checks that each request gets its final answer by half a second after its time.
-func playReplacedFleet(b *bench) ([]string, error) {
-	var addrs []string
-	for range fleetTargets / fleetPerAddr {
-		addr, err := b.startTarget(b.serveAfter(20*time.Millisecond, 200))
+// playSpoiltLengths plays targets of which one answer in twenty states half of its length. It checks that each answer with
+// status 200 is the one that a target made for its request.
+func playSpoiltLengths(b *bench) ([]string, error) {
+	var entries []entry
+	for shard := range spoiltTargets {
+		addr, err := b.startTarget(b.spoilLengths(shard))
 		if err != nil {
 			return nil, err
 		}
-		addrs = append(addrs, addr)
-	}
-	var entries []entry
-	for shard := range fleetTargets {
-		entries = append(entries, entryOf(fmt.Sprintf("s-%08x", shard), addrs[shard%len(addrs)], shard))
+		entries = append(entries, entryOf(fmt.Sprintf("s-%d", shard), addr, shard))
 	}
 	classes := storeClasses()
-	d, err := b.deploy(entries, 300, fleetTargets, classes)
+	d, err := b.deploy(entries, 3, spoiltTargets, classes)
 	if err != nil {
 		return nil, err
 	}
-	if b.trouble {
-		time.AfterFunc(fleetQuiet, func() { b.replace(d.agent, entries, addrs) })
-	}
 	l := &load{b: b, client: d.client}
-	for n := range fleetRequests {
-		l.send(read(n, classes[0], fleetTargets-1-n%fleetShards), checkOverdue)
-		time.Sleep(fleetInterval)
+	for n := range spoiltRequests {
+		l.send(read(n, classes[0], n%spoiltTargets), func(r request, o outcome) string {
+			want := answerBody(r.id, spoiltBody)
+			if o.status == http.StatusOK && o.body != want {
+				return fmt.Sprintf("was served with a whole answer of %d bytes; the one that its target made has %d", len(o.body), len(want))
+			}
+			return ""
+		})
+		time.Sleep(spoiltInterval)
 	}
 	return l.wait()
 }
 
-// replace replaces six in ten targets, one after the other: a new one serves the shard, the old one drains, and later it is
-// gone. The list has a new version each time.
-func (b *bench) replace(agent *discovery, entries []entry, addrs []string) {
-	begun := time.Now()
-	b.note("discovery: begins to tell of replaced targets")
-	for i := range fleetReplaced {
-		time.Sleep(time.Until(begun.Add(fleetReplace * time.Duration(i) / fleetReplaced)))
-		old := entries[i]
-		old.State = draining
-		next := entryOf(fmt.Sprintf("t-%08x", i), addrs[(i+1)%len(addrs)], i)
-		next.StartedMs = time.Now().UnixMilli()
-		agent.change(next)
-		agent.change(old)
-		if i >= fleetDrain {
-			gone := entries[i-fleetDrain]
-			gone.State = deleted
-			agent.change(gone)
+// spoilLengths returns the handler of a target that spoils some of its answers, or none without the disruption.
+func (b *bench) spoilLengths(shard int) func(arrival) bool {
+	serve := b.serveAfter(5*time.Millisecond, spoiltBody)
+	random := make(chan int)
+	go func() {
+		for rng := rand.New(rand.NewPCG(7, uint64(shard))); ; {
+			random <- rng.IntN(spoiltOneIn)
+		}
+	}()
+	return func(a arrival) bool {
+		if !b.trouble || <-random != 0 {
+			return serve(a)
 		}
+		body := answerBody(a.id, spoiltBody)
+		b.note("target: runs %s, its answer states a length of %d and has %d bytes", a.id, len(body)/2, len(body))
+		_, _ = fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body)/2, body)
+		_, _ = io.Copy(io.Discard, a.conn) // the connection stays open and can no longer be used
+		return false
 	}
-	b.note("discovery: has told of %d replaced targets", fleetReplaced)
 }
