--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,6 +26,7 @@
 
 // cases holds the function that plays each case. It returns the breaks of the rule.
 var cases = map[string]func(*bench) ([]string, error){
+	"6":  playLateCopies,
 	"7":  playHugeBodies,
 	"8":  playSpoiltLengths,
 	"9":  playReplacedFleet,
--- a/review/standin2/target.go
+++ b/review/standin2/target.go
@@ -16,7 +16,8 @@
 	id      string
 	path    string
 	conn    net.Conn
-	lastAt  time.Time // when its last byte had come
+	reader  *bufio.Reader // of the connection
+	lastAt  time.Time     // when its last byte had come
 	timeout time.Duration
 	body    []byte
 }
@@ -74,7 +75,7 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
-		a := arrival{id: id, path: request.URL.Path, conn: conn, lastAt: time.Now(), body: body,
+		a := arrival{id: id, path: request.URL.Path, conn: conn, reader: reader, lastAt: time.Now(), body: body,
 			timeout: time.Duration(ms) * time.Millisecond}
 		if !handle(a) {
 			return
