upstream: a response longer than its Content-Length is a failed attempt

Cause: data received behind the stated length only kept the connection from being used again; the attempt had been reported as a success by then.

Change: such data makes the attempt fail as one that may have executed (RESPONSE_EXCEEDS_LENGTH), unless it begins with the status line of the response, which a second copy does and the rest of a body does not. Bytes that only the kernel holds count as well.

The case of a second copy stays as it was. The sentence of that test's comment which said that a response with any bytes behind it is used is replaced by the stricter rule.

--- a/internal/upstream/closereason.go
+++ b/internal/upstream/closereason.go
@@ -25,8 +25,9 @@
 	ReasonUnsentAtSendBy   CloseReason = "UNSENT_AT_SEND_BY" // the target had not taken all of a repeat in time
 	ReasonReadStalled      CloseReason = "READ_STALLED"
 	ReasonResponseTooLarge CloseReason = "RESPONSE_TOO_LARGE"
-	ReasonConnectionClose  CloseReason = "CONNECTION_CLOSE" // the target asked for it, or sent more than its response
-	ReasonClosed           CloseReason = "CLOSED"           // closed by this process while the attempt ended
+	ReasonExceedsLength    CloseReason = "RESPONSE_EXCEEDS_LENGTH" // what follows the response may be the rest of its body
+	ReasonConnectionClose  CloseReason = "CONNECTION_CLOSE"        // the target asked for it, or sent more than its response
+	ReasonClosed           CloseReason = "CLOSED"                  // closed by this process while the attempt ended
 	ReasonClosedWhileIdle  CloseReason = "CLOSED_WHILE_IDLE"
 	ReasonUnrequestedData  CloseReason = "UNREQUESTED_DATA" // such as the second copy of a response
 	ReasonPoolIdleTimeout  CloseReason = "POOL_IDLE_TIMEOUT"
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -66,12 +66,16 @@
 func (c *httpConn) awaitResponse(method string, deadline time.Time) RoundTripResult {
 	reader := newResponseReader(c.Conn, deadline, c.budget)
 	resp, err := reader.read(method)
+	hasExtraData := reader.buffer.Buffered() > 0 || socket.UnreadBytes(c.Conn) > 0
+	if err == nil && hasExtraData {
+		err = reader.checkExtraData(resp)
+	}
 	if err != nil {
 		return reader.failureResult(err)
 	}
 	return RoundTripResult{
 		AttemptResult: resp.attemptResult(),
-		CloseReason:   c.prepareForReuse(resp, reader.hasExtraData()),
+		CloseReason:   c.prepareForReuse(resp, hasExtraData),
 	}
 }
 
--- a/internal/upstream/http_test.go
+++ b/internal/upstream/http_test.go
@@ -95,7 +95,8 @@
 
 // TestUnusableResponses checks the handling of invalid responses. The attempt may have executed, no part of the response is
 // passed on, and the connection is not used again. A response that stops midway does not delay the result until the
-// deadline. If more bytes arrive than the response, the response is used and the connection is closed.
+// deadline. If a second copy of the response follows, the response is used and the connection is closed. Any other bytes behind
+// a response with a length may be the rest of its body.
 func TestUnusableResponses(t *testing.T) {
 	const good = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
 	const informational = "HTTP/1.1 103 Early Hints\r\n\r\n"
@@ -117,12 +118,32 @@
 		{"1xx before the response", strings.Repeat(informational, maxInformational) + good, ok, 1},
 		{"too many 1xx", strings.Repeat(informational, maxInformational+1) + good, unusable, 2},
 		{"second copy", good + good, ok, 2},
+		{"length too short", good + "yz", unusable, 2},
+		{"length 0 and a body", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nx", unusable, 2},
+		{"noise behind", good + "\x00\xffnoise\r\n\r\n", unusable, 2},
+		{"another response behind", good + "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", unusable, 2},
+		{"chunked with noise behind", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\nnoise", ok, 2},
 		{"invalid reports", strings.Replace(good, "Cont", "Server-Load: inflight=x,queue=1e99\r\nVolume-Load: -7\r\nCont", 1), ok, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) { testResponse(t, c.response, c.want, c.connections) })
 	}
 }
 
+// TestTruncatedLongResponseIsNotServed guards against a response whose stated length is too short, and of which more than the
+// read buffer holds has arrived.
+func TestTruncatedLongResponseIsNotServed(t *testing.T) {
+	body := strings.Repeat("x", 100<<10)
+	server := newFakeTarget(t, func(_ int32, _ *http.Request, conn net.Conn) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body)/2, body)
+		return err == nil
+	})
+	registry := newTestRegistry(server.Addr().String())
+	registry.send(10 * time.Second)
+	if result := registry.result(t); result.Status != scheduler.ConnectionReset || result.Payload != nil {
+		t.Errorf("got %v, want status %v and no body", result.Status, scheduler.ConnectionReset)
+	}
+}
+
 // testResponse runs two attempts at a target that sends the given response to each. The body of a successful response must
 // be "x".
 func testResponse(t *testing.T, response string, want scheduler.AttemptStatus, connections int32) {
--- a/internal/upstream/httpresponse.go
+++ b/internal/upstream/httpresponse.go
@@ -35,11 +35,14 @@
 	errBodyTooLarge         = errors.New("response body is too large")
 	errMemoryBudget         = errors.New("response bodies exceed the memory budget")
 	errTooManyInformational = errors.New("too many 1xx responses")
+	errExceedsLength        = errors.New("response is longer than its Content-Length")
 )
 
 // response is a complete response of a target.
 type response struct {
 	statusCode  int
+	statusLine  string                // without its line end
+	hasLength   bool                  // Content-Length, and nothing else, tells where the body ends
 	notStarted  bool                  // the target states that it never started the attempt
 	loadReport  *scheduler.LoadReport // nil if the response has none
 	volumeUsage int                   // see scheduler.AttemptEnded
@@ -102,6 +105,8 @@
 	}
 	return &response{
 		statusCode:  head.StatusCode,
+		statusLine:  head.Proto + " " + head.Status,
+		hasLength:   head.ContentLength >= 0,
 		notStarted:  head.Header.Get("Not-Started") == "1",
 		loadReport:  parseLoadReport(head.Header.Get("Server-Load")),
 		volumeUsage: parseVolumeUsage(head.Header.Get("Volume-Load")),
@@ -171,8 +176,23 @@
 	return body.Bytes(), nil
 }
 
-// hasExtraData reports whether more data was received than the response.
-func (r *responseReader) hasExtraData() bool { return r.buffer.Buffered() > 0 }
+// checkExtraData checks the data that has been received behind a response. It returns errExceedsLength if that may be the rest
+// of the body: a target that states too short a length would otherwise have its truncated response served as a whole one. A
+// second copy of the response is the only data that proves the length to be right, and it is recognized by its status line.
+// Data behind a response without a length says nothing about that response.
+func (r *responseReader) checkExtraData(resp *response) error {
+	if !resp.hasLength {
+		return nil
+	}
+	r.limit.N = maxHeadBytes
+	for length := 1; length <= len(resp.statusLine); length++ {
+		received, err := r.buffer.Peek(length)
+		if err != nil || received[length-1] != resp.statusLine[length-1] {
+			return errExceedsLength
+		}
+	}
+	return nil
+}
 
 // failureResult returns the result of an attempt whose response could not be read. The attempt may have executed. The status
 // is DeadlineExceeded only if the attempt's deadline passed, and Cancelled if the memory budget was exhausted, which says
@@ -187,6 +207,8 @@
 		return NoResponse(scheduler.DeadlineExceeded, ReadErrorReason(err))
 	case errors.Is(err, errMemoryBudget):
 		return NoResponse(scheduler.Cancelled, ReadErrorReason(err))
+	case errors.Is(err, errExceedsLength):
+		return NoResponse(scheduler.ConnectionReset, ReasonExceedsLength)
 	case errors.Is(err, errBodyTooLarge), r.limit.N <= 0:
 		return NoResponse(scheduler.ConnectionReset, ReasonResponseTooLarge)
 	}
