clienthttp: connections use the processor one at a time, in a run queue

Cause: each client connection has a goroutine, and one that always has bytes to read runs for a whole time slice. Every goroutine that a usual request needs waited behind 250 of them, several times.

Evidence: a flood of readiness checks on 250 connections, which discards nothing, shows the same (64 of 240 usual requests served), so the amount of discarded bytes is not the cause. Nor is the cost of a byte: those requests are 40 bytes long.

Change: internal/runqueue. A connection waits in it after each read that passes bytes of a request on, and one connection at a time becomes runnable. It is one mechanism in clientConn.Read for all that clients send; the dispatcher and the responses of targets do not wait in it.

Tests: TestOverload with both floods, whose bad clients have a process of their own.

--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"dapplegate/internal/runqueue"
 	"dapplegate/internal/socket"
 )
 
@@ -27,6 +28,9 @@
 	net.Conn
 	// rawConn is nil if the connection does not provide one; reads then go through Conn.
 	rawConn syscall.RawConn
+	// turn is the connection's place in the server's run queue. Only the goroutine that serves the connection waits with it. It
+	// is nil if the connection does not wait.
+	turn *runqueue.Waiter
 
 	// readMu is held while available bytes are read, and during the check whether to close the connection. It is
 	// locked after connTable.mu. It is never held during Conn.Close, which waits for a read that has begun.
--- a/internal/clienthttp/connread.go
+++ b/internal/clienthttp/connread.go
@@ -13,9 +13,14 @@
 // readAheadSize is the size, in bytes, of the read that follows a background read which received the start of a request.
 const readAheadSize = 4 << 10
 
-// Read implements net.Conn. It returns bytes of one request at a time.
+// Read implements net.Conn. It returns bytes of one request at a time, once it is this connection's turn to use the processor.
+// A client that sends at full speed thus delays the requests of others by one read, or by one of its own requests.
 func (c *clientConn) Read(buffer []byte) (int, error) {
+	isBackgroundRead := c.isBackgroundRead(buffer)
 	n, err := c.read(buffer)
+	if n > 0 && !isBackgroundRead {
+		c.turn.Wait()
+	}
 	if err != nil {
 		c.recordCloseReason(c.readFailureReason(err))
 		c.recordReadError(err)
--- a/internal/clienthttp/conntable.go
+++ b/internal/clienthttp/conntable.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"dapplegate/internal/runqueue"
 	"dapplegate/internal/socket"
 )
 
@@ -29,6 +30,7 @@
 	// evictIdleAbove is the number of open connections, with or without a request in flight, above which each new one
 	// evicts one that has been idle long enough: see rankForEviction.
 	evictIdleAbove int
+	runQueue       *runqueue.Queue // in which each connection waits with what it has read; nil: none waits
 	log            *slog.Logger
 
 	mu           sync.Mutex // guards the fields below, and idleSince of each connection
@@ -36,14 +38,18 @@
 	shuttingDown bool // whether connections are closed because of a graceful shutdown
 }
 
-func newConnTable(maxConns, evictIdleAbove int, log *slog.Logger) *connTable {
-	return &connTable{maxConns: maxConns, evictIdleAbove: min(evictIdleAbove, maxConns), log: log, open: map[*clientConn]bool{}}
+func newConnTable(maxConns, evictIdleAbove int, runQueue *runqueue.Queue, log *slog.Logger) *connTable {
+	return &connTable{maxConns: maxConns, evictIdleAbove: min(evictIdleAbove, maxConns), runQueue: runQueue, log: log,
+		open: map[*clientConn]bool{}}
 }
 
 // add adds an accepted connection to the table, and evicts another if there are too many. It returns nil if it has refused
 // the connection.
 func (t *connTable) add(accepted net.Conn) *clientConn {
 	c := newClientConn(accepted)
+	if t.runQueue != nil {
+		c.turn = t.runQueue.NewWaiter()
+	}
 	t.mu.Lock()
 	admitted := t.admit(c)
 	shuttingDown := t.shuttingDown
--- a/internal/clienthttp/server.go
+++ b/internal/clienthttp/server.go
@@ -26,6 +26,7 @@
 
 	"dapplegate/internal/dispatcher"
 	"dapplegate/internal/memorybudget"
+	"dapplegate/internal/runqueue"
 )
 
 // maxHeaderBytes limits the size of a request head.
@@ -90,28 +91,32 @@
 
 // Server serves clients over HTTP/1.1.
 type Server struct {
-	options               Options
-	dispatcher            Dispatcher
-	http                  http.Server
-	listener              atomic.Pointer[net.Listener] // set by Serve, read by Shutdown
-	conns                 *connTable
-	requestBudget         *memorybudget.Budget // for Options.MaxRequestBytes
-	shutdownSchedule      dispatcher.ShutdownSchedule
-	shutdownStartedAt     atomic.Pointer[time.Time] // when Shutdown was called; nil if it was not
-	closeAfterResponse    atomic.Bool               // set late in Shutdown: each response closes its connection
-	timeoutChecksStopped  chan struct{}             // closed by stopTimeoutChecks
-	stopTimeoutChecksOnce sync.Once
+	options            Options
+	dispatcher         Dispatcher
+	http               http.Server
+	listener           atomic.Pointer[net.Listener] // set by Serve, read by Shutdown
+	conns              *connTable
+	runQueue           *runqueue.Queue      // of the goroutines that serve connections
+	requestBudget      *memorybudget.Budget // for Options.MaxRequestBytes
+	shutdownSchedule   dispatcher.ShutdownSchedule
+	shutdownStartedAt  atomic.Pointer[time.Time] // when Shutdown was called; nil if it was not
+	closeAfterResponse atomic.Bool               // set late in Shutdown: each response closes its connection
+	stopped            chan struct{}             // closed by stop
+	stopOnce           sync.Once
 }
 
 // New returns a server that submits its requests to the dispatcher.
 func New(d Dispatcher, options Options) *Server {
+	stopped := make(chan struct{})
+	runQueue := runqueue.New(stopped)
 	s := &Server{
-		options:              options,
-		dispatcher:           d,
-		conns:                newConnTable(options.MaxConns, options.EvictIdleAbove, options.Logger),
-		requestBudget:        memorybudget.New(options.MaxRequestBytes),
-		shutdownSchedule:     dispatcher.NewShutdownSchedule(options.MaxDeadline),
-		timeoutChecksStopped: make(chan struct{}),
+		options:          options,
+		dispatcher:       d,
+		conns:            newConnTable(options.MaxConns, options.EvictIdleAbove, runQueue, options.Logger),
+		runQueue:         runQueue,
+		requestBudget:    memorybudget.New(options.MaxRequestBytes),
+		shutdownSchedule: dispatcher.NewShutdownSchedule(options.MaxDeadline),
+		stopped:          stopped,
 	}
 	// The table closes idle connections. net/http's own idle timeout is longer than keepAliveTimeout and than the time
 	// for which a shutdown keeps connections open, so that it takes effect only if the table has not closed the
@@ -134,18 +139,19 @@
 func (s *Server) Serve(l net.Listener) error {
 	s.listener.Store(&l)
 	go s.closeTimedOutConns()
+	go s.runQueue.Run()
 	err := s.http.Serve(&listener{Listener: l, table: s.conns})
 	if s.shutdownStartedAt.Load() != nil {
-		return nil // Shutdown serves the open connections and stops the timeout checks
+		return nil // Shutdown serves the open connections and stops the server
 	}
-	s.stopTimeoutChecks()
+	s.stop()
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
-// closeTimedOutConns applies the timeouts of connTable until stopTimeoutChecks is called. During a shutdown
+// closeTimedOutConns applies the timeouts of connTable until the server has stopped. During a shutdown
 // connTable.closeIdle closes idle connections, from ServeConnsFor on, and from AnswerBy on also connections whose request
 // has stalled.
 func (s *Server) closeTimedOutConns() {
@@ -153,7 +159,7 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-s.timeoutChecksStopped:
+		case <-s.stopped:
 			return
 		case <-ticker.C:
 			s.conns.closeTimedOut(keepAliveTimeout, requestClaimTimeout)
@@ -161,7 +167,7 @@
 	}
 }
 
-// stopTimeoutChecks stops closeTimedOutConns. It may be called more than once.
-func (s *Server) stopTimeoutChecks() {
-	s.stopTimeoutChecksOnce.Do(func() { close(s.timeoutChecksStopped) })
+// stop ends the goroutines that Serve has started. It may be called more than once.
+func (s *Server) stop() {
+	s.stopOnce.Do(func() { close(s.stopped) })
 }
--- a/internal/clienthttp/shutdown.go
+++ b/internal/clienthttp/shutdown.go
@@ -16,7 +16,7 @@
 // serves the open connections for a while, and returns once no connection is left. If the context ends first, it closes
 // the remaining connections and returns the context's error.
 func (s *Server) Shutdown(ctx context.Context) error {
-	defer s.stopTimeoutChecks()
+	defer s.stop()
 	startedAt := time.Now()
 	s.shutdownStartedAt.Store(&startedAt)
 	s.conns.beginShutdown()
--- a/internal/faulttest/regression_test.go
+++ b/internal/faulttest/regression_test.go
@@ -23,6 +23,13 @@
 		}
 		return
 	}
+	if parameters := os.Getenv(badClientsVariable); parameters != "" {
+		if err := playBadClients(parameters); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	os.Exit(buildAndRun(m))
 }
 
