scheduler: a change of the endpoint list costs by its entries, not by all targets

The dispatcher did nothing else while such lists came.

Change: queues and targets are indexed by shard. Registry.Apply visits all targets for a complete list only.

TestReplacedTargetOfShardServes follows the index through moves, restarts, drains and removals.

--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -61,20 +61,27 @@
 }
 
 // Apply adds, updates and removes targets as the list says. If the list is complete, targets that it does not contain are
-// removed.
+// removed. Changes cost as much as their entries, whatever the number of targets.
 func (r *Registry) Apply(list []Endpoint, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, endpoint := range list {
+		r.applyEndpoint(endpoint)
+	}
+	if complete {
+		r.removeUnlisted(list)
+	}
+}
+
+// removeUnlisted removes the targets that a complete list does not contain.
+func (r *Registry) removeUnlisted(list []Endpoint) {
 	listed := make(map[string]bool, len(list))
 	for _, endpoint := range list {
 		listed[endpoint.ID] = true
-		r.applyEndpoint(endpoint)
 	}
 	for id, t := range r.targets {
-		if complete && !listed[id] {
+		if !listed[id] {
 			t.update("", scheduler.Removed)
-		}
-		if t.currentState() == scheduler.Removed {
 			r.retire(t)
 		}
 	}
@@ -89,6 +96,9 @@
 		t = r.addTarget(endpoint.ID)
 	}
 	t.update(endpoint.Addr, endpoint.State)
+	if endpoint.State == scheduler.Removed {
+		r.retire(t)
+	}
 }
 
 // addTarget adds a target and starts its actor.
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minWatchBackoff and maxWatchBackoff bound the time between a failed request for the endpoint list
@@ -53,27 +56,41 @@
 		return
 	}
 	s.watcher.recordSuccess()
+	changed := map[int]bool{}
 	for _, entry := range list.Targets {
-		s.updateTarget(entry)
+		t := s.updateTarget(entry, changed)
+		if t.State == Serving && t.Shard >= 0 {
+			s.shardQueueFor(t.Shard)
+		}
 	}
 	if list.Complete {
-		s.markAbsentRemoved(list.Targets)
+		s.markAbsentRemoved(list.Targets, changed)
 	}
-	s.assignTargets()
+	s.assignTargets(changed)
 }
 
-// updateTarget applies one entry of the list.
-func (s *Scheduler) updateTarget(entry Target) {
+// updateTarget applies one entry of the list, and adds the shards that it concerns to changed.
+func (s *Scheduler) updateTarget(entry Target, changed map[int]bool) *target {
 	t := s.targetsByID[entry.ID]
 	if t == nil {
-		t = newTarget(entry.ID, s.now)
+		s.targetsListed++
+		t = newTarget(entry, s.targetsListed, s.now)
 		s.targetsByID[entry.ID] = t
 		s.targets = append(s.targets, t)
+		s.targetsByShard.add(t)
 	}
 	if entry.StartedAt != t.StartedAt && s.now-entry.StartedAt < s.slowStart.Duration {
 		s.onTargetRestart(t)
 	}
+	changed[t.Shard] = true
+	changed[entry.Shard] = true
+	if entry.Shard != t.Shard {
+		s.targetsByShard.remove(t)
+		t.Shard = entry.Shard
+		s.targetsByShard.add(t)
+	}
 	t.Target = entry
+	return t
 }
 
 // onTargetRestart resets what was learned about the target's previous process.
@@ -90,8 +107,9 @@
 	}
 }
 
-// markAbsentRemoved marks the targets that a complete list does not name as removed.
-func (s *Scheduler) markAbsentRemoved(listed []Target) {
+// markAbsentRemoved marks the targets that a complete list does not name as removed, and adds their shards
+// to changed.
+func (s *Scheduler) markAbsentRemoved(listed []Target, changed map[int]bool) {
 	present := map[string]bool{}
 	for _, entry := range listed {
 		present[entry.ID] = true
@@ -99,24 +117,53 @@
 	for _, t := range s.targets {
 		if !present[t.ID] {
 			t.State = Removed
+			changed[t.Shard] = true
 		}
 	}
 }
 
-// assignTargets sets the target of each shard queue: of the serving targets, the one that started last.
-func (s *Scheduler) assignTargets() {
-	for _, t := range s.targets {
-		if t.State == Serving && t.Shard >= 0 {
-			s.shardQueueFor(t.Shard)
+// assignTargets sets the target of the queues whose shards have changed: of the shard's serving targets, the
+// one that started last.
+func (s *Scheduler) assignTargets(changed map[int]bool) {
+	for shard := range changed {
+		if q := s.queuesByShard[shard]; q != nil {
+			q.target = s.targetsByShard.startedLast(shard)
 		}
 	}
-	for _, q := range s.shardQueues {
-		q.target = nil
-		for _, t := range s.targets {
-			if t.Shard == q.shard && t.State == Serving &&
-				(q.target == nil || t.StartedAt > q.target.StartedAt) {
-				q.target = t
-			}
+}
+
+// targetsByShard holds the targets of each shard, whatever their state. A change of the endpoint list thus
+// costs as much as the targets of its shard, and not as all targets.
+type targetsByShard map[int][]*target
+
+func (m targetsByShard) add(t *target) { m[t.Shard] = append(m[t.Shard], t) }
+
+func (m targetsByShard) remove(t *target) {
+	rest := slices.DeleteFunc(m[t.Shard], func(other *target) bool { return other == t })
+	if len(rest) == 0 {
+		delete(m, t.Shard)
+		return
+	}
+	m[t.Shard] = rest
+}
+
+// startedLast returns the serving target of the shard that started last, or nil. Of several that started at
+// the same time, it is the one that was listed first.
+func (m targetsByShard) startedLast(shard int) *target {
+	var last *target
+	for _, t := range m[shard] {
+		if t.State == Serving && (last == nil || t.startsAfter(last)) {
+			last = t
 		}
 	}
+	return last
+}
+
+// startsAfter reports whether t started after the other target, or was listed before it if they started at
+// the same time.
+func (t *target) startsAfter(other *target) bool {
+	if t.StartedAt != other.StartedAt {
+		return t.StartedAt > other.StartedAt
+	}
+	return t.listNumber < other.listNumber
 }
--- a/scheduler/endpoints_test.go
+++ b/scheduler/endpoints_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -20,6 +22,62 @@
 	}
 }
 
+// TestEndpointListCostsByItsEntries guards against a change of the endpoint list that costs more than in proportion
+// to the number of targets, so that a large fleet's changes take all of the processor.
+func TestEndpointListCostsByItsEntries(t *testing.T) {
+	const few, many, changes, maxFactorOverLinear = 200, 3200, 100, 4
+	timeFor := func(targets int) time.Duration {
+		var entries []Target
+		for shard := range targets {
+			entries = append(entries, servingTarget(fmt.Sprint("n", shard), shard))
+		}
+		h := newHarness(t, testSettings(), entries...)
+		fastest := time.Duration(math.MaxInt64)
+		for range 5 {
+			startedAt := time.Now()
+			for i := range changes {
+				h.step(EndpointList{Targets: entries[i : i+1]})
+			}
+			fastest = min(fastest, time.Since(startedAt))
+		}
+		return fastest
+	}
+	withFew, withMany := timeFor(few), timeFor(many)
+	if withMany > withFew*many/few*maxFactorOverLinear {
+		t.Errorf("%d changes took %v with %d targets and %v with %d", changes, withFew, few, withMany, many)
+	}
+}
+
+// TestReplacedTargetOfShardServes moves a target to another shard, drains it and removes it. The queues of both
+// shards must follow.
+func TestReplacedTargetOfShardServes(t *testing.T) {
+	h := newHarness(t, testSettings(), servingTarget("a", 0), servingTarget("b", 1))
+	expect := func(step string, shard int, want string) {
+		t.Helper()
+		got := ""
+		if serving := h.scheduler.queuesByShard[shard].target; serving != nil {
+			got = serving.ID
+		}
+		if got != want {
+			t.Errorf("%s: shard %d is served by %q, want %q", step, shard, got, want)
+		}
+	}
+	h.step(EndpointList{Targets: []Target{servingTarget("a", 1)}})
+	expect("moved", 0, "")
+	expect("moved", 1, "a") // listed first
+	started := servingTarget("b", 1)
+	started.StartedAt = h.now
+	h.step(EndpointList{Targets: []Target{started}})
+	expect("restarted", 1, "b")
+	started.State = Draining
+	h.step(EndpointList{Targets: []Target{started}})
+	expect("draining", 1, "a")
+	h.step(EndpointList{Targets: []Target{{ID: "a", State: Removed}}})
+	expect("removed", 1, "")
+	h.step(EndpointList{Complete: true, Targets: []Target{servingTarget("c", 0)}})
+	expect("complete list", 0, "c")
+}
+
 // TestEndpointWatcherBacksOff has five consecutive requests for the endpoint list fail, and then one
 // succeed. The time to the next request must double with each failure, up to 8 s, and begin at 1 s again
 // after the success.
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -26,12 +26,11 @@
 
 // shardQueueFor returns the queue of a shard and creates it if needed.
 func (s *Scheduler) shardQueueFor(shard int) *shardQueue {
-	for _, q := range s.shardQueues {
-		if q.shard == shard {
-			return q
-		}
+	if q := s.queuesByShard[shard]; q != nil {
+		return q
 	}
 	q := &shardQueue{shard: shard, flowsByVolume: map[*volume]*flow{}}
+	s.queuesByShard[shard] = q
 	s.shardQueues = append(s.shardQueues, q)
 	return q
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,12 +39,15 @@
 	shutdownDeadline time.Duration // when all requests must have ended; never: no shutdown yet
 	givenUp          givenUpRequests
 	serialQueues     map[string]*serialQueue // by extent
-	shardQueues      []*shardQueue
+	shardQueues      []*shardQueue           // in the order in which they were created
+	queuesByShard    map[int]*shardQueue
 	volumes          map[string]*volume
 
 	// Targets.
 	targets        []*target
 	targetsByID    map[string]*target
+	targetsByShard targetsByShard
+	targetsListed  int     // how many targets have ever been listed
 	queueingFactor float64 // fraction of the base latency that each request at a target adds; learned
 	slowStart      slowStart
 	retryBudget    retryBudget
@@ -75,6 +78,8 @@
 		serialQueues:      map[string]*serialQueue{},
 		volumes:           map[string]*volume{},
 		targetsByID:       map[string]*target{},
+		targetsByShard:    targetsByShard{},
+		queuesByShard:     map[int]*shardQueue{},
 		queueingFactor:    initialQueueingFactor,
 		slowStart:         newSlowStart(&settings),
 		retryBudget:       retryBudget{RetryBudget: settings.RetryBudget, tick: settings.Tick},
--- a/scheduler/sweep.go
+++ b/scheduler/sweep.go
@@ -30,8 +30,11 @@
 // sweepShardQueues removes the empty queues of shards that no target serves.
 func (s *Scheduler) sweepShardQueues() {
 	s.shardQueues = slices.DeleteFunc(s.shardQueues, func(q *shardQueue) bool {
-		servesShard := func(t *target) bool { return t.Shard == q.shard }
-		return len(q.queued)+len(q.flows) == 0 && !slices.ContainsFunc(s.targets, servesShard)
+		isUnused := len(q.queued)+len(q.flows) == 0 && len(s.targetsByShard[q.shard]) == 0
+		if isUnused {
+			delete(s.queuesByShard, q.shard)
+		}
+		return isUnused
 	})
 }
 
@@ -41,6 +44,7 @@
 		isGone := t.State == Removed && len(t.inFlight) == 0 && t.lastContact < since
 		if isGone {
 			delete(s.targetsByID, t.ID)
+			s.targetsByShard.remove(t)
 		}
 		return isGone
 	})
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -5,7 +5,8 @@
 // target is the state of one target: its entry in the endpoint list and what the scheduler has measured.
 type target struct {
 	Target
-	inFlight []*request
+	listNumber int // how many targets had been listed when it was listed first, itself included
+	inFlight   []*request
 
 	// Latencies are in seconds and refer to a request of mean size.
 	smoothedLatency float64 // moving average; 0: no response yet
@@ -33,9 +34,10 @@
 }
 
 // newTarget returns the state of a target that is listed for the first time.
-func newTarget(id string, now time.Duration) *target {
+func newTarget(entry Target, listNumber int, now time.Duration) *target {
 	return &target{
-		Target:           Target{ID: id},
+		Target:           Target{ID: entry.ID, Shard: entry.Shard},
+		listNumber:       listNumber,
 		concurrencyLimit: initialConcurrency,
 		lastContact:      now,
 		reportedLoad:     -1,
