clienthttp: a head has at most 100 lines, since each field takes memory however short

Cause: net/http keeps each field as an entry of a map, some 100 bytes for 3 bytes sent, so a head of 16 KiB took over 100 KiB. What requests take was counted by the length of their text, and not at all for malformed ones.

Change: the request scanner counts the lines before net/http gets them; beyond 100 the client gets a 431 and a close.

The bad clients of the fault tests have five more kinds.

--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -242,9 +242,9 @@
 }
 
 // recordReadError records the first error of Read for the log, except for ordinary ones: the client or this side has closed
-// the connection, or a deadline has passed.
+// the connection, a deadline has passed, or the head has too many fields.
 func (c *clientConn) recordReadError(err error) {
-	for _, ordinary := range []error{io.EOF, os.ErrDeadlineExceeded, net.ErrClosed} {
+	for _, ordinary := range []error{io.EOF, os.ErrDeadlineExceeded, net.ErrClosed, errTooManyFields} {
 		if errors.Is(err, ordinary) {
 			return
 		}
@@ -259,6 +259,8 @@
 		return reasonClientClosed
 	case errors.Is(err, syscall.ECONNRESET):
 		return reasonClientReset
+	case errors.Is(err, errTooManyFields):
+		return reasonTooManyFields
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return reasonReadFailed
 	}
--- a/internal/clienthttp/connread.go
+++ b/internal/clienthttp/connread.go
@@ -8,8 +8,13 @@
 	"os"
 	"syscall"
 	"time"
+
+	"dapplegate/internal/socket"
 )
 
+// response431 is sent before a close to a client whose request has too many fields.
+const response431 = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 // readAheadSize is the size, in bytes, of the read that follows a background read which received the start of a request.
 const readAheadSize = 4 << 10
 
@@ -43,7 +48,10 @@
 	}
 	c.readAheadArrival = c.estimateArrival(waited)
 	c.unreadSince = latest(c.unreadSince, drainedAt)
-	taken := c.deliver(buffer[:n], c.readAheadArrival, true)
+	taken, deliverError := c.deliver(buffer[:n], c.readAheadArrival, true)
+	if deliverError != nil {
+		return 0, deliverError
+	}
 	if taken < n {
 		c.readAhead = bytes.Clone(buffer[taken:n])
 	}
@@ -59,7 +67,10 @@
 		c.markCloseDetectionLost()
 	}
 	n := copy(buffer, c.readAhead)
-	taken := c.deliver(buffer[:n], c.readAheadArrival, n == len(c.readAhead))
+	taken, err := c.deliver(buffer[:n], c.readAheadArrival, n == len(c.readAhead))
+	if err != nil {
+		return 0, err
+	}
 	c.readAhead = c.readAhead[taken:]
 	if len(c.readAhead) == 0 {
 		c.readAhead = nil // releases the buffer
@@ -68,11 +79,17 @@
 }
 
 // deliver passes bytes to net/http up to the end of the current request, and returns how many that is. arrived holds the
-// arrival times of the bytes that were read together with data; includesLast is whether data ends with the last of them.
-func (c *clientConn) deliver(data []byte, arrived arrivalTimes, includesLast bool) (taken int) {
+// arrival times of the bytes that were read together with data; includesLast is whether data ends with the last of them. If the
+// head has too many fields, deliver responds with response431, passes nothing and returns errTooManyFields as a failed read, after
+// which net/http closes the connection without a response of its own.
+func (c *clientConn) deliver(data []byte, arrived arrivalTimes, includesLast bool) (taken int, err error) {
 	taken, complete := c.scanner.scan(data)
+	if c.scanner.tooManyLines() {
+		socket.TrySend(c.Conn, response431)
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errTooManyFields}
+	}
 	if !complete {
-		return taken
+		return taken, nil
 	}
 	c.requestArrivedAt = arrived.firstByteNotBefore
 	if includesLast && taken == len(data) {
@@ -80,7 +97,7 @@
 	}
 	c.responsePending = true
 	c.state.CompareAndSwap(stateReceiving, stateReceived)
-	return taken
+	return taken, nil
 }
 
 // isBackgroundRead reports whether the next read is one by which net/http detects that the client closes. Such a read
--- a/internal/clienthttp/connstate.go
+++ b/internal/clienthttp/connstate.go
@@ -91,6 +91,8 @@
 	// reasonRequestReadTimeout: a request did not arrive completely within requestReadTimeout, or did not reach its
 	// handler within requestClaimTimeout.
 	reasonRequestReadTimeout closeReason = "REQUEST_READ_TIMEOUT"
+	// reasonTooManyFields: the head of a request has more than maxHeadLines lines.
+	reasonTooManyFields closeReason = "TOO_MANY_FIELDS"
 	// reasonShutdown: closed for the graceful shutdown.
 	reasonShutdown closeReason = "SHUTDOWN"
 	// reasonClosedByServer: closed after a response that announces the close, or because of bytes that are not a request.
--- a/internal/clienthttp/requestscanner.go
+++ b/internal/clienthttp/requestscanner.go
@@ -2,9 +2,17 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 )
 
+// maxHeadLines limits the lines of a request's head. net/http takes some 100 bytes for each field, however short, so that a head
+// within maxHeaderBytes could take 100 times its size.
+const maxHeadLines = 100
+
+// errTooManyFields is the error of a request whose head has more than maxHeadLines lines.
+var errTooManyFields = errors.New("the request's head has too many fields")
+
 // maxScannedLine is how many bytes of a line of the head are kept: enough for "Content-Length:" and a length.
 const maxScannedLine = 64
 
@@ -16,19 +24,19 @@
 type requestScanner struct {
 	line          [maxScannedLine]byte // the start of the head's current line
 	lineLength    int                  // bytes used in line
-	seenLine      bool                 // a non-empty line of the head has ended
+	lines         int                  // non-empty lines of the head that have ended
 	bodyRemaining int64                // bytes of the body that are still missing, by the Content-Length read so far
 	inBody        bool
 	complete      bool // the request is complete; the next byte begins another
 }
 
 // scan scans further bytes. It returns how many of them belong to the current request, and whether they complete it.
-// After a complete request, the next byte begins another.
+// After a complete request, the next byte begins another. The scan ends at the line that makes tooManyLines true.
 func (s *requestScanner) scan(data []byte) (length int, complete bool) {
 	if s.complete {
 		*s = requestScanner{}
 	}
-	for length < len(data) && !s.complete {
+	for length < len(data) && !s.complete && !s.tooManyLines() {
 		if s.inBody {
 			length += s.scanBody(data[length:])
 		} else {
@@ -38,6 +46,9 @@
 	return length, s.complete
 }
 
+// tooManyLines reports whether the head has more lines than net/http may be given.
+func (s *requestScanner) tooManyLines() bool { return s.lines > maxHeadLines }
+
 // scanBody scans bytes of the body and returns how many belong to it.
 func (s *requestScanner) scanBody(data []byte) (length int) {
 	length = int(min(s.bodyRemaining, int64(len(data))))
@@ -62,11 +73,11 @@
 // endLine handles a complete line of the head. The first empty line after another line ends the head.
 func (s *requestScanner) endLine(line []byte) {
 	if len(line) > 0 {
-		s.seenLine = true
+		s.lines++
 		s.parseContentLength(line)
 		return
 	}
-	if !s.seenLine {
+	if s.lines == 0 {
 		return
 	}
 	s.inBody = true
--- a/internal/clienthttp/requestscanner_test.go
+++ b/internal/clienthttp/requestscanner_test.go
@@ -1,9 +1,13 @@
 package clienthttp
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -43,3 +47,39 @@
 		}
 	})
 }
+
+// TestManyFieldsAreNotParsed guards against a head of very many short fields, which takes 100 times its size in memory. Such a
+// request gets a 431 before its head has ended, also if it was read ahead. A head with as many fields as allowed is served.
+func TestManyFieldsAreNotParsed(t *testing.T) {
+	_, d, addr := startServer(t, maxTestConns)
+	go d.respondToAll()
+	defer close(d.calls)
+	withoutEnd := strings.TrimSuffix(validGet, "\r\n")
+	head := func(lines int) string {
+		return withoutEnd + strings.Repeat("x:\r\n", lines-strings.Count(withoutEnd, "\r\n"))
+	}
+	for _, c := range []struct {
+		name, sent   string
+		wantStatuses []int
+	}{
+		{"as many as allowed", head(maxHeadLines) + "\r\n", []int{http.StatusOK}},
+		{"one too many, without the end", head(maxHeadLines + 1), []int{http.StatusRequestHeaderFieldsTooLarge}},
+		{"one too many, read ahead", validGet + head(maxHeadLines+1), []int{http.StatusOK, http.StatusRequestHeaderFieldsTooLarge}},
+	} {
+		conn := dial(t, addr)
+		setDeadline(t, conn, time.Now().Add(requestReadTimeout/2)) // an incomplete head ends later
+		send(conn, c.sent)
+		reader := bufio.NewReader(conn)
+		for i, want := range c.wantStatuses {
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Errorf("%s: response %d: %v", c.name, i, err)
+				break
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			if response.StatusCode != want {
+				t.Errorf("%s: response %d has status %d, want %d", c.name, i, response.StatusCode, want)
+			}
+		}
+	}
+}
--- a/internal/faulttest/badclient_test.go
+++ b/internal/faulttest/badclient_test.go
@@ -26,6 +26,11 @@
 	badClientPatience = 6 * time.Second
 	// manyFields is how many short fields fit into a head.
 	manyFields = 1900
+	// longFieldCount and longFieldBytes are the number and the length of fields that fill a head and are all accepted.
+	longFieldCount = 90
+	longFieldBytes = 165
+	// maxShard is the number of shards that an initiator accepts.
+	maxShard = 1_000_000
 	// slowInterval is the time between two writes of a client that writes slowly, and slowBytes the size of each.
 	slowInterval = 20 * time.Millisecond
 	slowBytes    = 400
@@ -56,7 +61,12 @@
 	"many fields":               (*badClient).sendManyFields,
 	"many fields, half":         (*badClient).sendManyFieldsWithoutEnd,
 	"many fields, malformed":    (*badClient).sendManyFieldsMalformed,
+	"long fields, half":         (*badClient).sendLongFieldsWithoutEnd,
+	"long fields, in flight":    (*badClient).sendLongFields,
 	"pipelined":                 (*badClient).pipelineHopeless,
+	"pipelined, new shards":     (*badClient).pipelineNewShards,
+	"pipelined, new volumes":    (*badClient).pipelineNewVolumes,
+	"pipelined, new objects":    (*badClient).pipelineNewObjects,
 	"pipelined, patient":        (*badClient).pipelinePatient,
 	"pipelined readiness":       (*badClient).pipelineReadiness,
 	"malformed, reconnecting":   (*badClient).sendMalformedHead,
@@ -154,6 +164,22 @@
 		method, longDeadlineClass.Name, c.number, c.nextID(), timeoutHeader(timeout), length, c.number)
 }
 
+// readOf returns a read of a volume and a shard, with little time left.
+func (c *badClient) readOf(volume, shard int64) string {
+	return fmt.Sprintf("GET /%s/%016x HTTP/1.1\r\nHost: a\r\nRequest-Id: %s\r\nTier: std\r\n%s"+
+		"IO-Info: volume=%016x,units=1,shard=%d,hosts=1\r\n\r\n",
+		longDeadlineClass.Name, volume, c.nextID(), timeoutHeader(hopelessTimeout), volume, shard)
+}
+
+// longFields returns as many fields as an initiator accepts, which fill a head.
+func longFields() string {
+	var text strings.Builder
+	for i := range longFieldCount {
+		fmt.Fprintf(&text, "%x: %s\r\n", i, strings.Repeat("v", longFieldBytes))
+	}
+	return text.String()
+}
+
 // shortFields returns manyFields short fields with different names.
 func shortFields() string {
 	var text strings.Builder
@@ -243,6 +269,26 @@
 	sendAndReadResponse(conn, c.head(patientTimeout, hugeBodyBytes)+shortFields()+"\r\n")
 }
 
+func (c *badClient) sendLongFieldsWithoutEnd(conn net.Conn) {
+	sendAndWait(conn, c.head(patientTimeout, 0)+longFields())
+}
+
+func (c *badClient) sendLongFields(conn net.Conn) {
+	sendAndReadResponse(conn, c.head(patientTimeout, 0)+longFields()+"\r\n")
+}
+
+func (c *badClient) pipelineNewShards(conn net.Conn) {
+	c.sendAll(conn, func() string { return c.readOf(int64(c.number), c.sent.Load()%maxShard) })
+}
+
+func (c *badClient) pipelineNewVolumes(conn net.Conn) {
+	c.sendAll(conn, func() string { return c.readOf(c.sent.Load(), 0) })
+}
+
+func (c *badClient) pipelineNewObjects(conn net.Conn) {
+	c.sendAll(conn, func() string { return c.readOf(int64(c.number), -1) })
+}
+
 func (c *badClient) pipelineHopeless(conn net.Conn) { c.pipeline(conn, hopelessTimeout) }
 
 func (c *badClient) pipelinePatient(conn net.Conn) { c.pipeline(conn, patientTimeout) }
--- a/internal/faulttest/overload_test.go
+++ b/internal/faulttest/overload_test.go
@@ -43,6 +43,8 @@
 var defaultOverloadCases = []overload{
 	{"huge bodies", 250, 192, 1024},
 	{"pipelined readiness", 250, 32, 1024},
+	{"many fields", 250, 32, 1024},
+	{"many fields, half", 500, 32, 1024},
 }
 
 // TestOverload guards against bad clients that take the processor, so that usual clients get their responses late or never, or
