clienthttp: the accepting goroutine yields the processor after each connection

Cause: while clients connect again at once, the accepting goroutine never blocks and runs for whole time slices of 10 ms. The run queue granted one turn after each, so a connection among 341 waited up to 3.4 s.

Evidence: "request was read late" unread_for=2.58s accepted_ago=2.59s accept_took=9.2us: the request waited in the process, neither in the accept queue nor for the accept, and the dispatcher handled it at once when it came.

Change: accept yields after each connection, so that accepts and turns alternate.

--- a/internal/clienthttp/accept.go
+++ b/internal/clienthttp/accept.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"slices"
 	"syscall"
 	"time"
@@ -49,6 +50,9 @@
 func (l *listener) Accept() (net.Conn, error) {
 	backoff := minAcceptBackoff
 	for {
+		// Clients that connect again at full speed would otherwise let this goroutine run for whole time slices, and the run
+		// queue of the open connections would grant one turn after each.
+		runtime.Gosched()
 		calledAt := time.Now()
 		conn, err := l.Listener.Accept()
 		if err == nil {
--- a/internal/faulttest/overload_test.go
+++ b/internal/faulttest/overload_test.go
@@ -45,6 +45,8 @@
 	{"pipelined readiness", 250, 32, 1024},
 	{"many fields", 250, 32, 1024},
 	{"many fields, half", 500, 32, 1024},
+	{"malformed, reconnecting", 500, 32, 1024},
+	{"half requests and close", 250, 32, 1024},
 }
 
 // TestOverload guards against bad clients that take the processor, so that usual clients get their responses late or never, or
