clienthttp: nothing is forwarded for a client whose close may be hidden behind unread bytes

Cause: a close travels behind all that the client has sent. Beyond 4 KiB the server left further requests to the kernel, whose receive buffer was full, so that the close never arrived and no check could see it.

Evidence: attempts 1 and 2 of the request in flight passed each check, and the end came with the reset that the first response met, not with a check that was late.

Each read keeps its arrival times.

--- a/internal/clienthttp/accept_test.go
+++ b/internal/clienthttp/accept_test.go
@@ -181,7 +181,7 @@
 // which clients that connect again at once make more than end.
 func TestRefusedConnectionsAreNotServed(t *testing.T) {
 	const refused = 20
-	table := newConnTable(1, 1, nil, slog.New(slog.DiscardHandler))
+	table := newConnTable(1, 1, slog.New(slog.DiscardHandler))
 	for range 1 + maxConnsOverLimit {
 		conn, _ := net.Pipe()
 		table.add(conn).state.Store(stateInFlight)
--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -62,6 +62,12 @@
 	// cleared by the state hook, read for the log.
 	inFlightRequestID atomic.Pointer[string]
 
+	// closeHidden is whether so much is unread that the client's close cannot be detected: see readAllAvailable. Written by the
+	// reader and by the goroutine that serves the connection, read by any goroutine.
+	closeHidden atomic.Bool
+	// backgroundReadEnded is whether the background read of the current request has received a byte. From then on the goroutine
+	// that serves the connection is the reader. Written by the reader and the state hook.
+	backgroundReadEnded atomic.Bool
 	// closeDetectionLost is closed when net/http can no longer detect that the client closes, because its background read
 	// received the first byte of a further request; nil if the connection is not monitored. The reader closes the channel,
 	// through closeDetectionLostOnce; the handler receives from it.
@@ -72,14 +78,12 @@
 	// that serves the connection, read by the reader.
 	readAbortedAt atomic.Pointer[time.Time]
 
-	// The fields from here to unreadSince belong to the reader, and to the state hook between two reads.
+	// The fields from here to unreadSince belong to the reader, and to the state hook between two reads. The goroutine that serves
+	// the connection is the reader as soon as backgroundReadEnded is set.
 
 	// scanner has scanned the bytes that were passed to net/http.
-	scanner requestScanner
-	// readAhead holds bytes of further requests that have been read and not yet passed to net/http; readAheadArrival is
-	// when they arrived.
-	readAhead        []byte
-	readAheadArrival arrivalTimes
+	scanner   requestScanner
+	readAhead readAhead
 	// responsePending is whether net/http has all of a request and has not responded yet. Meanwhile it reads in the
 	// background.
 	responsePending bool
@@ -136,7 +140,8 @@
 // beginNextRequest records that net/http has finished a request and proceeds to the next. No goroutine reads meanwhile.
 func (c *clientConn) beginNextRequest() {
 	next := stateIdle
-	if len(c.readAhead) > 0 || !c.scanner.complete {
+	c.backgroundReadEnded.Store(false)
+	if len(c.readAhead.bytes) > 0 || !c.scanner.complete {
 		now := time.Now()
 		c.lastReadAt.Store(&now)
 		c.receivingSince.Store(&now)
@@ -207,16 +212,6 @@
 	return c.Conn != nil && socket.ClosedByPeer(c.Conn)
 }
 
-// isCloseDetectionLost reports whether net/http can no longer detect that the client closes.
-func (c *clientConn) isCloseDetectionLost() bool {
-	select {
-	case <-c.closeDetectionLost:
-		return true
-	default:
-		return false
-	}
-}
-
 // claimRequest marks the request that net/http has passed to the handler as in flight. It aborts the handler if the
 // connection was closed meanwhile. A request that is malformed or does not go to the dispatcher is claimed even if not all
 // of it has been read.
--- a/internal/clienthttp/conn_test.go
+++ b/internal/clienthttp/conn_test.go
@@ -155,7 +155,7 @@
 // get no response. A connection that has been closed must return no more bytes.
 func TestEvictionAfterRead(t *testing.T) {
 	client, accepted := connPair(t)
-	table := newConnTable(8, 8, nil, slog.New(slog.DiscardHandler))
+	table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
 	c := table.add(accepted)
 	rawConn := c.rawConn
 
@@ -194,7 +194,7 @@
 // also waited for the eviction, there would be a deadlock with the table locked, and no connection could be accepted.
 func TestEvictionDuringRead(t *testing.T) {
 	_, accepted := connPair(t)
-	table := newConnTable(8, 8, nil, slog.New(slog.DiscardHandler))
+	table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
 	c := table.add(accepted)
 	read := pausedRawConn{c.rawConn, make(chan bool), make(chan bool)}
 	c.rawConn = read
--- a/internal/clienthttp/connread.go
+++ b/internal/clienthttp/connread.go
@@ -1,7 +1,6 @@
 package clienthttp
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -15,15 +14,16 @@
 // response431 is sent before a close to a client whose request has too many fields.
 const response431 = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-// readAheadSize is the size, in bytes, of the read that follows a background read which received the start of a request.
-const readAheadSize = 4 << 10
-
 // Read implements net.Conn. It returns bytes of one request at a time, once it is this connection's turn to use the processor.
 // A client that sends at full speed thus delays the requests of others by one read, or by one of its own requests.
 func (c *clientConn) Read(buffer []byte) (int, error) {
 	isBackgroundRead := c.isBackgroundRead(buffer)
 	n, err := c.read(buffer)
-	if n > 0 && !isBackgroundRead {
+	switch {
+	case n > 0 && isBackgroundRead:
+		c.backgroundReadEnded.Store(true)
+		c.markCloseDetectionLost()
+	case n > 0:
 		c.turn.Wait()
 	}
 	if err != nil {
@@ -34,27 +34,26 @@
 }
 
 func (c *clientConn) read(buffer []byte) (int, error) {
-	if len(c.readAhead) > 0 {
+	if len(c.readAhead.bytes) > 0 {
 		return c.readFromReadAhead(buffer)
 	}
 	n, waited, err := c.readConn(buffer)
 	if n == 0 {
 		return 0, err
 	}
+	var further []byte
 	var drainedAt time.Time
 	if c.isBackgroundRead(buffer) {
-		c.markCloseDetectionLost()
-		drainedAt = c.readAheadAvailable()
+		further, drainedAt = c.readAllAvailable()
 	}
-	c.readAheadArrival = c.estimateArrival(waited)
+	arrived := c.estimateArrival(waited)
 	c.unreadSince = latest(c.unreadSince, drainedAt)
-	taken, deliverError := c.deliver(buffer[:n], c.readAheadArrival, true)
+	taken, deliverError := c.deliver(buffer[:n], []readSegment{{n + len(further), arrived}})
 	if deliverError != nil {
 		return 0, deliverError
 	}
-	if taken < n {
-		c.readAhead = bytes.Clone(buffer[taken:n])
-	}
+	c.readAhead.add(buffer[taken:n], arrived)
+	c.readAhead.add(further, arrived)
 	return taken, err
 }
 
@@ -63,26 +62,19 @@
 	if c.state.Load() == stateClosed {
 		return 0, net.ErrClosed
 	}
-	if c.isBackgroundRead(buffer) {
-		c.markCloseDetectionLost()
-	}
-	n := copy(buffer, c.readAhead)
-	taken, err := c.deliver(buffer[:n], c.readAheadArrival, n == len(c.readAhead))
+	n := copy(buffer, c.readAhead.bytes)
+	taken, err := c.deliver(buffer[:n], c.readAhead.segments)
 	if err != nil {
 		return 0, err
 	}
-	c.readAhead = c.readAhead[taken:]
-	if len(c.readAhead) == 0 {
-		c.readAhead = nil // releases the buffer
-	}
+	c.readAhead.drop(taken)
 	return taken, nil
 }
 
-// deliver passes bytes to net/http up to the end of the current request, and returns how many that is. arrived holds the
-// arrival times of the bytes that were read together with data; includesLast is whether data ends with the last of them. If the
-// head has too many fields, deliver responds with response431, passes nothing and returns errTooManyFields as a failed read, after
+// deliver passes bytes to net/http up to the end of the current request, and returns how many that is. The segments begin with
+// data. If the head has too many fields, deliver responds with response431, passes nothing and returns errTooManyFields as a failed read, after
 // which net/http closes the connection without a response of its own.
-func (c *clientConn) deliver(data []byte, arrived arrivalTimes, includesLast bool) (taken int, err error) {
+func (c *clientConn) deliver(data []byte, segments []readSegment) (taken int, err error) {
 	taken, complete := c.scanner.scan(data)
 	if c.scanner.tooManyLines() {
 		socket.TrySend(c.Conn, response431)
@@ -91,10 +83,7 @@
 	if !complete {
 		return taken, nil
 	}
-	c.requestArrivedAt = arrived.firstByteNotBefore
-	if includesLast && taken == len(data) {
-		c.requestArrivedAt = arrived.lastByte
-	}
+	c.requestArrivedAt = arrivalOf(segments, taken)
 	c.responsePending = true
 	c.state.CompareAndSwap(stateReceiving, stateReceived)
 	return taken, nil
@@ -114,32 +103,6 @@
 	}
 }
 
-// readAheadAvailable reads ahead the available bytes of the next request, after a background read received its first byte. It
-// returns a time at which nothing was left unread, or the zero time if there may be more.
-//
-// The arrival time of bytes is known only until further bytes follow them. Without reading ahead, a request that waits
-// behind another would count as received later than it arrived.
-func (c *clientConn) readAheadAvailable() (drainedAt time.Time) {
-	if c.rawConn == nil {
-		return time.Time{}
-	}
-	buffer := make([]byte, readAheadSize)
-	length := 0
-	var err error
-	controlError := c.rawConn.Control(func(fd uintptr) {
-		for n := 0; err == nil && length < len(buffer); length += n {
-			n, err = c.readAvailable(int(fd), buffer[length:])
-		}
-	})
-	if length > 0 {
-		c.readAhead = buffer[:length]
-	}
-	if controlError == nil && errors.Is(err, syscall.EAGAIN) {
-		drainedAt = c.readStartedAt
-	}
-	return drainedAt // the next read returns any other error again
-}
-
 // readConn reads new bytes from the connection, and waits for them if there are none. It reports whether it had to wait.
 func (c *clientConn) readConn(buffer []byte) (n int, waited bool, err error) {
 	if c.rawConn != nil {
--- a/internal/clienthttp/conntable.go
+++ b/internal/clienthttp/conntable.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"dapplegate/internal/memorybudget"
 	"dapplegate/internal/runqueue"
 	"dapplegate/internal/socket"
 )
@@ -33,23 +34,25 @@
 	maxConns int
 	// evictIdleAbove is the number of open connections, with or without a request in flight, above which each new one
 	// evicts one that has been idle long enough: see rankForEviction.
-	evictIdleAbove int
-	runQueue       *runqueue.Queue // in which each connection waits with what it has read; nil: none waits
-	log            *slog.Logger
+	evictIdleAbove  int
+	runQueue        *runqueue.Queue      // in which each connection waits with what it has read; nil: none waits
+	readAheadBudget *memorybudget.Budget // for what all connections read ahead; nil: no limit
+	log             *slog.Logger
 
 	mu           sync.Mutex // guards the fields below, and idleSince of each connection
 	open         []*clientConn
 	shuttingDown bool // whether connections are closed because of a graceful shutdown
 }
 
-func newConnTable(maxConns, evictIdleAbove int, runQueue *runqueue.Queue, log *slog.Logger) *connTable {
-	return &connTable{maxConns: maxConns, evictIdleAbove: min(evictIdleAbove, maxConns), runQueue: runQueue, log: log}
+func newConnTable(maxConns, evictIdleAbove int, log *slog.Logger) *connTable {
+	return &connTable{maxConns: maxConns, evictIdleAbove: min(evictIdleAbove, maxConns), log: log}
 }
 
 // add adds an accepted connection to the table, and evicts another if there are too many. It returns nil if it has refused
 // the connection.
 func (t *connTable) add(accepted net.Conn) *clientConn {
 	c := newClientConn(accepted)
+	c.readAhead.memory.budget = t.readAheadBudget
 	if t.runQueue != nil {
 		c.turn = t.runQueue.NewWaiter()
 	}
@@ -157,6 +160,7 @@
 func (t *connTable) onClosed(c *clientConn) {
 	t.mu.Lock()
 	t.remove(c)
+	c.readAhead.memory.release()
 	shuttingDown := t.shuttingDown
 	t.mu.Unlock()
 	t.logEnd(c, shuttingDown)
--- a/internal/clienthttp/conntable_test.go
+++ b/internal/clienthttp/conntable_test.go
@@ -110,7 +110,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var log strings.Builder
-			table := newConnTable(8, 8, nil, slog.New(slog.NewTextHandler(&log, nil)))
+			table := newConnTable(8, 8, slog.New(slog.NewTextHandler(&log, nil)))
 			conn, _ := net.Pipe()
 			added := table.add(conn)
 			table.onConnState(added, http.StateActive)
--- a/internal/clienthttp/eviction_test.go
+++ b/internal/clienthttp/eviction_test.go
@@ -159,7 +159,7 @@
 func TestEvictionResponseDoesNotBlock(t *testing.T) {
 	_, accepted := connPair(t)
 	fillSendBuffer(t, accepted)
-	table := newConnTable(8, 8, nil, slog.New(slog.DiscardHandler))
+	table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
 	c := table.add(accepted)
 	c.state.Store(stateReceiving)
 	closed := make(chan bool, 1)
@@ -222,7 +222,7 @@
 		t.Run(name, func(t *testing.T) {
 			client, accepted := connPair(t)
 			resume := make(chan bool)
-			table := newConnTable(8, 8, nil, slog.New(slog.DiscardHandler))
+			table := newConnTable(8, 8, slog.New(slog.DiscardHandler))
 			conn := table.add(slowCloseConn{accepted, resume})
 			conn.hasResponded.Store(c.hasResponded)
 			closed := make(chan bool, 1)
--- a/internal/clienthttp/handler.go
+++ b/internal/clienthttp/handler.go
@@ -62,7 +62,7 @@
 	liftReadDeadline(w)
 	call.ReceivedAt = conn.requestArrival()
 	call.ClientTimeout = s.shutdownSchedule.LimitTimeout(call.ClientTimeout, call.ReceivedAt, s.shutdownStartedAt.Load())
-	call.ClientClosed = conn.clientClosed
+	call.ClientClosed = conn.mayHaveClosed
 	s.dispatch(w, r, conn, call)
 }
 
@@ -131,11 +131,12 @@
 	// The buffer lets the dispatcher's goroutine respond without waiting for this one.
 	responses := make(chan dispatcher.Response, 1)
 	call.Respond = func(response dispatcher.Response) { responses <- response }
-	if conn.isCloseDetectionLost() && conn.clientClosed() {
+	presence := conn.checkPresence()
+	if presence == clientGone {
 		// The client closed the connection while this request waited behind another.
 		panic(http.ErrAbortHandler)
 	}
-	if !s.dispatcher.Submit(call) {
+	if presence == clientUnknown || !s.dispatcher.Submit(call) {
 		s.writeResponse(w, dispatcher.Overloaded)
 		return
 	}
@@ -172,6 +173,7 @@
 			closeCheck = ticker.C
 			closeDetectionLost = nil
 		case <-closeCheck:
+			conn.readFurtherAhead()
 			if conn.clientClosed() {
 				return dispatcher.Response{}, false
 			}
--- a/internal/clienthttp/requestmemory.go
+++ b/internal/clienthttp/requestmemory.go
@@ -17,9 +17,10 @@
 	acquired int64
 }
 
-// acquire takes further bytes from the budget. If fewer are free, it takes none and returns errOutOfMemory.
+// acquire takes further bytes from the budget. If fewer are free, it takes none and returns errOutOfMemory. Without a budget
+// there is no limit.
 func (m *requestMemory) acquire(bytes int64) error {
-	if !m.budget.Acquire(bytes) {
+	if m.budget != nil && !m.budget.Acquire(bytes) {
 		return errOutOfMemory
 	}
 	m.acquired += bytes
@@ -28,7 +29,9 @@
 
 // release returns all that was taken.
 func (m *requestMemory) release() {
-	m.budget.Release(m.acquired)
+	if m.budget != nil {
+		m.budget.Release(m.acquired)
+	}
 	m.acquired = 0
 }
 
--- a/internal/clienthttp/server.go
+++ b/internal/clienthttp/server.go
@@ -64,6 +64,9 @@
 	timeoutCheckInterval = keepAliveTimeout / 8
 )
 
+// readAheadShare is the fraction, as 1/readAheadShare, of Options.MaxRequestBytes that may be read ahead in addition.
+const readAheadShare = 4
+
 // Options configures a Server.
 type Options struct {
 	Classes        map[string]bool // request classes that are served
@@ -112,12 +115,14 @@
 	s := &Server{
 		options:          options,
 		dispatcher:       d,
-		conns:            newConnTable(options.MaxConns, options.EvictIdleAbove, runQueue, options.Logger),
+		conns:            newConnTable(options.MaxConns, options.EvictIdleAbove, options.Logger),
 		runQueue:         runQueue,
 		requestBudget:    memorybudget.New(options.MaxRequestBytes),
 		shutdownSchedule: dispatcher.NewShutdownSchedule(options.MaxDeadline),
 		stopped:          stopped,
 	}
+	s.conns.runQueue = runQueue
+	s.conns.readAheadBudget = memorybudget.New(options.MaxRequestBytes / readAheadShare)
 	// The table closes idle connections. net/http's own idle timeout is longer than keepAliveTimeout and than the time
 	// for which a shutdown keeps connections open, so that it takes effect only if the table has not closed the
 	// connection.
--- a/internal/faulttest/regression_test.go
+++ b/internal/faulttest/regression_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -323,3 +325,33 @@
 	clients.Wait()
 	f.check(t)
 }
+
+// TestNoRetryForClientThatLeftBehindUnreadRequests guards against attempts that begin after the client has closed its
+// connection, when so much is unread on it that the kernel cannot tell of the close.
+func TestNoRetryForClientThatLeftBehindUnreadRequests(t *testing.T) {
+	const requestCount, errorDelay = 3000, 150 * time.Millisecond
+	f := newFixture(t, func(*rand.Rand) Behaviour { return Behaviour{Reply: RespondError, Delay: errorDelay} })
+	conn, err := net.Dial("tcp", f.client.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetDeadline(time.Now().Add(time.Second)); err != nil { // what the buffers do not hold is not sent
+		t.Fatal(err)
+	}
+	var encoded strings.Builder
+	for i := range requestCount {
+		request := Request{ID: fmt.Sprintf("r%d", i), Class: readClass, Timeout: readClass.Deadline}
+		encoded.WriteString(request.encode())
+		f.client.recordSent(request, time.Now())
+	}
+	_, _ = io.WriteString(conn, encoded.String())
+	leftAt := time.Now()
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for i := range requestCount {
+		f.history.update(fmt.Sprintf("r%d", i), func(r *requestRecord) { r.disconnectedAt = leftAt })
+	}
+	time.Sleep(10 * errorDelay)
+	f.check(t)
+}
