--- a/internal/faulttest/overload_test.go
+++ b/internal/faulttest/overload_test.go
@@ -15,11 +15,10 @@
 	overloadClients = flag.Int("overload-clients", 250, "number of bad clients, with -overload-kind")
 	overloadMemory  = flag.Int("overload-memory", 32, "memory limit in MiB, with -overload-kind")
 	overloadSockets = flag.Int("overload-sockets", 1024, "limit on descriptors, with -overload-kind")
+	overloadFor     = flag.Duration("overload-for", 5*time.Second, "how long the bad clients of TestOverload send")
 )
 
 const (
-	// overloadDuration is how long the bad clients send.
-	overloadDuration = 5 * time.Second
 	// overloadQuiet is how long the usual clients are alone, before and after the bad clients.
 	overloadQuiet = 500 * time.Millisecond
 	// overloadInterval is the time between two requests of the usual clients.
@@ -50,6 +49,7 @@
 	{kind: "many fields, half", clients: 500, memoryMiB: 32, sockets: 1024},
 	{kind: "malformed, reconnecting", clients: 500, memoryMiB: 32, sockets: 1024},
 	{kind: "half requests and close", clients: 250, memoryMiB: 32, sockets: 1024},
+	{kind: "half requests and close", clients: 6, memoryMiB: 32, sockets: 1024},
 	{kind: "half requests and close", clients: 1, memoryMiB: 32, sockets: 1024, minServedPercent: 90},
 }
 
@@ -83,8 +83,8 @@
 	var running sync.WaitGroup
 	running.Go(func() { f.sendUsualTraffic(done) })
 	time.Sleep(overloadQuiet)
-	wait := badClients{Kind: o.kind, Clients: o.clients, Addr: f.client.Addr, Duration: overloadDuration}.start(t)
-	peakKiB := f.watchMemory(o.memoryMiB<<10, overloadDuration+overloadQuiet)
+	wait := badClients{Kind: o.kind, Clients: o.clients, Addr: f.client.Addr, Duration: *overloadFor}.start(t)
+	peakKiB := f.watchMemory(o.memoryMiB<<10, *overloadFor+overloadQuiet)
 	close(done)
 	running.Wait()
 	requests, served, lateness := f.usualTraffic()
