upstream: a connection rests for 45 ms after each response, longer after a later copy

Cause: a connection rested for 10 ms, the time by which a copy may leave its target later. The network may take 32 ms longer for the copy than for the response. Only a copy that had come within 10 ms made the rest longer, so the first copies after a quiet time were taken for other responses.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -97,16 +97,15 @@
 // awaitQuarantine closes it and returns false. It returns true if the context is done first: the connection goes back to the
 // pool, and exchange ends the attempt.
 func (t *target) awaitQuarantine(ctx context.Context, c *pooledConn) bool {
-	remaining := t.quarantine.remaining(c)
-	if remaining <= 0 {
+	if t.quarantine.remaining(c) <= 0 {
 		return true
 	}
-	timer := time.NewTimer(remaining)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return true
-	case <-timer.C:
+	for remaining := t.quarantine.remaining(c); remaining > 0; remaining = t.quarantine.remaining(c) { // it may become longer
+		select {
+		case <-ctx.Done():
+			return true
+		case <-time.After(remaining):
+		}
 	}
 	if c.IsIdle() {
 		return true
--- a/internal/upstream/quarantine.go
+++ b/internal/upstream/quarantine.go
@@ -9,18 +9,17 @@
 // would be taken for the response to that request. A connection is therefore not reused for some time after a response. A copy
 // that arrives within that time is detected by IsIdle, and the connection is closed.
 const (
-	// quarantineTime is how long a connection is not reused after a response, as long as no target sends late data.
-	quarantineTime = 10 * time.Millisecond
-
 	// maxCopyDelay is how much later than the response its second copy may leave the target.
 	maxCopyDelay = 10 * time.Millisecond
 	// maxNetworkSpread is how much longer the network may take for the copy than for the response: a message takes 2 to 34 ms.
 	maxNetworkSpread = 32 * time.Millisecond
 	// quarantineMargin covers delays of this process.
 	quarantineMargin = 3 * time.Millisecond
-	// longQuarantineTime is how long a connection is not reused once a target has sent late data.
-	longQuarantineTime = maxCopyDelay + maxNetworkSpread + quarantineMargin
+	// quarantineTime is how long a connection is not reused after a response, as long as no copy has come later than expected.
+	quarantineTime = maxCopyDelay + maxNetworkSpread + quarantineMargin
 
+	// maxQuarantineTime is the longest quarantine.
+	maxQuarantineTime = 200 * time.Millisecond
 	// lateDataMemory is for how long late data makes the quarantine longer.
 	lateDataMemory = time.Minute
 )
@@ -28,7 +27,13 @@
 // quarantine determines how long the connections to all targets are not reused after a response. Its zero value is ready to
 // use. It is safe for concurrent use.
 type quarantine struct {
-	longUntil atomic.Pointer[time.Time] // nil if no late data has arrived
+	extended atomic.Pointer[extendedQuarantine] // nil if no late data has arrived
+}
+
+// extendedQuarantine is a quarantine that is longer than quarantineTime for some time.
+type extendedQuarantine struct {
+	duration time.Duration
+	until    time.Time
 }
 
 // remaining returns how long the quarantine of an idle connection still lasts. The result is not positive if the connection
@@ -42,17 +47,20 @@
 
 // duration returns how long a connection is not reused, at the given time.
 func (q *quarantine) duration(now time.Time) time.Duration {
-	if until := q.longUntil.Load(); until != nil && now.Before(*until) {
-		return longQuarantineTime
+	if extended := q.extended.Load(); extended != nil && now.Before(extended.until) {
+		return extended.duration
 	}
 	return quarantineTime
 }
 
-// recordLateData makes the quarantine longer, after data that nobody had requested arrived on an idle connection. A network
-// and targets that delay one copy may delay others, on connections to any target.
-func (q *quarantine) recordLateData(now time.Time) {
-	until := now.Add(lateDataMemory)
-	q.longUntil.Store(&until)
+// recordLateData makes the quarantine longer for a while, after data that nobody had requested arrived on an idle connection so
+// late that another copy, for which the network takes longer, could come after the quarantine. A network and targets that delay one
+// copy may delay others, on connections to any target. Data that is later than maxQuarantineTime is not taken for a copy.
+func (q *quarantine) recordLateData(now time.Time, delay time.Duration) {
+	duration := max(delay+quarantineMargin, q.duration(now))
+	if duration > quarantineTime && duration <= maxQuarantineTime {
+		q.extended.Store(&extendedQuarantine{duration: duration, until: now.Add(lateDataMemory)})
+	}
 }
 
 // notIdleReason returns why a connection that should be idle and is not must be closed. Data that nobody has requested is
@@ -62,7 +70,7 @@
 	if !ok {
 		return ReasonClosedWhileIdle
 	}
-	q.recordLateData(time.Now())
+	q.recordLateData(time.Now(), delay)
 	log.unrequestedData(delay)
 	return ReasonUnrequestedData
 }
