upstream: a target's goroutine runs only while the target has work or a connection

Cause: each target had a goroutine with a stack and a ticker, in use or not: 3,247 goroutines and 7.6 MB of stacks before the first request.

Change: the goroutine starts with an attempt and ends once the target has no attempt, dial or connection.

TestTargetServesAgainAfterItWasIdle and TestRemovedTargetStops force the ends and the starts.

--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -30,6 +30,13 @@
 	}
 }
 
+// IsEmpty reports whether there are no messages to take.
+func (m *Mailbox[T]) IsEmpty() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.messages) == 0
+}
+
 // Wake returns a channel that is readable when there may be messages to take. A wake-up may be spurious, because an earlier
 // Take may have taken the messages already.
 func (m *Mailbox[T]) Wake() <-chan struct{} { return m.wake }
--- a/internal/upstream/connpool.go
+++ b/internal/upstream/connpool.go
@@ -115,11 +115,6 @@
 	p.closeIdle(ReasonPoolIdleTimeout, isTooOld)
 }
 
-// closeAll closes all idle connections.
-func (p *connPool) closeAll(reason CloseReason) {
-	p.closeIdle(reason, func(*pooledConn) bool { return true })
-}
-
 func (p *connPool) closeIdle(reason CloseReason, matches func(*pooledConn) bool) {
 	p.idle = slices.DeleteFunc(p.idle, func(c *pooledConn) bool {
 		if !matches(c) {
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -25,12 +25,8 @@
 // endpointChanged tells the actor that the target's state or address may have changed.
 type endpointChanged struct{}
 
-// retire tells the actor to end once no attempt or dial is in flight.
-type retire struct{}
-
 func (startAttempt) isMessage()        {}
 func (cancelAttempt) isMessage()       {}
 func (attemptEnded) isMessage()        {}
 func (backgroundDialEnded) isMessage() {}
 func (endpointChanged) isMessage()     {}
-func (retire) isMessage()              {}
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -44,7 +44,7 @@
 
 	mu      sync.Mutex
 	targets map[string]*target
-	retired map[*target]bool // actors of removed targets, until they end
+	retired map[*target]bool // actors of removed targets, until they stop
 }
 
 var _ dispatcher.Upstream = (*Registry)(nil)
@@ -101,24 +101,27 @@
 	}
 }
 
-// addTarget adds a target and starts its actor.
+// addTarget adds a target.
 func (r *Registry) addTarget(id string) *target {
 	t := newTarget(id, r.options, &r.totalOpenConns, &r.quarantine, r.reportResult)
-	r.targets[id] = t
-	go func() {
-		t.run()
+	t.onStopped = func() {
 		r.mu.Lock()
-		delete(r.retired, t)
-		r.mu.Unlock()
-	}()
+		defer r.mu.Unlock()
+		if !t.isRunning() { // another attempt may have started it again
+			delete(r.retired, t)
+		}
+	}
+	r.targets[id] = t
 	return t
 }
 
-// retire removes a target from the registry and retires its actor, which ends once no attempt or dial is in flight.
+// retire removes a target, whose state is Removed already, from the registry. If its actor runs, it closes its idle connections and
+// stops once no attempt or dial is in flight.
 func (r *Registry) retire(t *target) {
 	delete(r.targets, t.id)
-	r.retired[t] = true
-	t.mailbox.Put(retire{})
+	if t.notify(endpointChanged{}) {
+		r.retired[t] = true
+	}
 }
 
 // Send starts an attempt. Exactly one result is reported for it.
@@ -143,7 +146,7 @@
 	if t == nil {
 		return false
 	}
-	t.mailbox.Put(startAttempt{attempt})
+	t.send(startAttempt{attempt})
 	return true
 }
 
@@ -153,12 +156,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t := r.targets[targetID]; t != nil {
-		t.mailbox.Put(cancelAttempt{requestID})
+		t.notify(cancelAttempt{requestID})
 	}
 	// The attempt may have started before the target was removed, and the target may have been added again since.
 	for t := range r.retired {
 		if t.id == targetID {
-			t.mailbox.Put(cancelAttempt{requestID})
+			t.notify(cancelAttempt{requestID})
 		}
 	}
 }
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,9 @@
 
 // target is the actor of one target. Its goroutine, which executes run, handles one message at a time. Each attempt runs on
 // a goroutine of its own, which sends the actor a message when the attempt ends.
+//
+// The goroutine runs only while the target has an attempt, a dial or a connection. In a large fleet most targets have none, and
+// would take memory for a stack each.
 type target struct {
 	id           string
 	options      Options
@@ -37,14 +41,19 @@
 	// actor clears it when that dial ends.
 	backgroundDialActive atomic.Bool
 
+	// onStopped is called each time the actor's goroutine ends.
+	onStopped func()
+	// runMu guards running, which is whether the actor's goroutine runs or is about to.
+	runMu   sync.Mutex
+	running bool
+
 	// Only the actor's goroutine uses the following fields.
 	pool     connPool
 	inFlight map[string]*inFlightAttempt // by request ID
-	retired  bool                        // the target was removed from the registry
 }
 
-// newTarget returns an actor, whose run the caller starts. totalOpenConns counts the connections to all targets, and rest is
-// their quarantine.
+// newTarget returns an actor, whose goroutine starts with the first attempt. totalOpenConns counts the connections to all targets,
+// and rest is their quarantine.
 func newTarget(id string, options Options, totalOpenConns *atomic.Int64, rest *quarantine,
 	reportResult func(dispatcher.AttemptResult)) *target {
 	log := connLog{logger: options.Logger, targetID: id}
@@ -57,6 +66,7 @@
 		quarantine:   rest,
 		pool:         connPool{options: options, log: log, quarantine: rest, totalOpenConns: totalOpenConns},
 		inFlight:     map[string]*inFlightAttempt{},
+		onStopped:    func() {},
 	}
 }
 
@@ -70,7 +80,7 @@
 		t.options.Logger.LogAttrs(context.Background(), slog.LevelDebug, "target state changed",
 			slog.String("target", t.id), slog.String("from", before.String()), slog.String("to", state.String()))
 	}
-	t.mailbox.Put(endpointChanged{})
+	t.notify(endpointChanged{})
 }
 
 // isServing reports whether a new attempt may go to the target.
@@ -86,12 +96,52 @@
 	return ""
 }
 
-// run handles messages until the actor is retired and no attempt or dial is in flight.
+// send passes a message to the actor, and starts its goroutine if it does not run.
+func (t *target) send(m message) {
+	t.runMu.Lock()
+	defer t.runMu.Unlock()
+	t.mailbox.Put(m)
+	if !t.running {
+		t.running = true
+		go t.run()
+	}
+}
+
+// notify passes a message to the actor that needs it only if its goroutine runs. It reports whether it does.
+func (t *target) notify(m message) (running bool) {
+	t.runMu.Lock()
+	defer t.runMu.Unlock()
+	if t.running {
+		t.mailbox.Put(m)
+	}
+	return t.running
+}
+
+// isRunning reports whether the actor's goroutine runs.
+func (t *target) isRunning() bool {
+	t.runMu.Lock()
+	defer t.runMu.Unlock()
+	return t.running
+}
+
+// stopIfIdle records that the actor's goroutine ends, if the target has no connection, attempt or dial and there is no message.
+func (t *target) stopIfIdle() (stopped bool) {
+	if len(t.inFlight) > 0 || t.backgroundDialActive.Load() || len(t.pool.idle) > 0 {
+		return false
+	}
+	t.runMu.Lock()
+	defer t.runMu.Unlock()
+	t.running = !t.mailbox.IsEmpty()
+	return !t.running
+}
+
+// run handles messages until the target has no connection, attempt or dial.
 func (t *target) run() {
+	defer t.onStopped()
 	var spare []message
 	ticker := time.NewTicker(max(t.options.IdleTimeout/prunesPerIdleTimeout, minPruneInterval))
 	defer ticker.Stop()
-	for !t.isDone() {
+	for {
 		select {
 		case <-ticker.C:
 			t.prune()
@@ -102,13 +152,10 @@
 			}
 			spare = messages
 		}
+		if t.stopIfIdle() {
+			return
+		}
 	}
-	t.pool.closeAll(ReasonTargetNotServing)
-}
-
-// isDone reports whether the actor is retired and no attempt or dial is in flight.
-func (t *target) isDone() bool {
-	return t.retired && len(t.inFlight) == 0 && !t.backgroundDialActive.Load()
 }
 
 func (t *target) handle(m message) {
@@ -126,8 +173,6 @@
 		t.returnConn(m.conn)
 	case endpointChanged:
 		t.prune()
-	case retire:
-		t.retired = true
 	}
 }
 
