clienthttp: a head whose end is uncertain is rejected before net/http gets it

Cause: the scanner read Content-Length by rules of its own from the first 64 bytes of a line, net/http by others. For the scanner the body was the beginning of a further request. A readiness check with a chunked body did the same.

Change: a folded line and a Content-Length that the scanner does not keep whole get a 400 and a close (UNCERTAIN_END), a transfer coding a 411 on every path.

--- a/internal/clienthttp/conn.go
+++ b/internal/clienthttp/conn.go
@@ -239,9 +239,9 @@
 }
 
 // recordReadError records the first error of Read for the log, except for ordinary ones: the client or this side has closed
-// the connection, a deadline has passed, or the head has too many fields.
+// the connection, a deadline has passed, or the scanner has rejected the head.
 func (c *clientConn) recordReadError(err error) {
-	for _, ordinary := range []error{io.EOF, os.ErrDeadlineExceeded, net.ErrClosed, errTooManyFields} {
+	for _, ordinary := range []error{io.EOF, os.ErrDeadlineExceeded, net.ErrClosed, errTooManyFields, errUncertainEnd} {
 		if errors.Is(err, ordinary) {
 			return
 		}
@@ -256,8 +256,6 @@
 		return reasonClientClosed
 	case errors.Is(err, syscall.ECONNRESET):
 		return reasonClientReset
-	case errors.Is(err, errTooManyFields):
-		return reasonTooManyFields
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return reasonReadFailed
 	}
--- a/internal/clienthttp/connread.go
+++ b/internal/clienthttp/connread.go
@@ -11,9 +11,6 @@
 	"dapplegate/internal/socket"
 )
 
-// response431 is sent before a close to a client whose request has too many fields.
-const response431 = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-
 // Read implements net.Conn. It returns bytes of one request at a time, once it is this connection's turn to use the processor.
 // A client that sends at full speed thus delays the requests of others by one read, or by one of its own requests.
 func (c *clientConn) Read(buffer []byte) (int, error) {
@@ -72,13 +69,14 @@
 }
 
 // deliver passes bytes to net/http up to the end of the current request, and returns how many that is. The segments begin with
-// data. If the head has too many fields, deliver responds with response431, passes nothing and returns errTooManyFields as a failed read, after
+// data. If the scanner rejects the head, deliver responds, passes nothing and returns the scanner's error as a failed read, after
 // which net/http closes the connection without a response of its own.
 func (c *clientConn) deliver(data []byte, segments []readSegment) (taken int, err error) {
 	taken, complete := c.scanner.scan(data)
-	if c.scanner.tooManyLines() {
-		socket.TrySend(c.Conn, response431)
-		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errTooManyFields}
+	if rejected := c.scanner.err; rejected != nil {
+		socket.TrySend(c.Conn, rejected.response)
+		c.recordCloseReason(rejected.reason)
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: rejected}
 	}
 	if !complete {
 		return taken, nil
--- a/internal/clienthttp/connstate.go
+++ b/internal/clienthttp/connstate.go
@@ -93,6 +93,8 @@
 	reasonRequestReadTimeout closeReason = "REQUEST_READ_TIMEOUT"
 	// reasonTooManyFields: the head of a request has more than maxHeadLines lines.
 	reasonTooManyFields closeReason = "TOO_MANY_FIELDS"
+	// reasonUncertainEnd: the head of a request does not tell for certain where the request ends.
+	reasonUncertainEnd closeReason = "UNCERTAIN_END"
 	// reasonShutdown: closed for the graceful shutdown.
 	reasonShutdown closeReason = "SHUTDOWN"
 	// reasonClosedByServer: closed after a response that announces the close, or because of bytes that are not a request.
--- a/internal/clienthttp/handler.go
+++ b/internal/clienthttp/handler.go
@@ -33,6 +33,10 @@
 // response.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request, conn *clientConn) {
 	if r.URL.Path == readinessPath || s.options.ReadinessOnly || conn.overLimit {
+		if len(r.TransferEncoding) > 0 { // the end of such a request is known to net/http alone
+			s.respondMalformed(w, conn, errTransferEncoding)
+			return
+		}
 		conn.claimRequest()
 		s.respondLocally(w, r)
 		return
--- a/internal/clienthttp/parse.go
+++ b/internal/clienthttp/parse.go
@@ -53,6 +53,9 @@
 	return &requestError{Status: status, Message: fmt.Sprintf(format, args...)}
 }
 
+// errTransferEncoding is the error of a request with a transfer coding.
+var errTransferEncoding = requestErrorf(http.StatusLengthRequired, "Transfer-Encoding: a body needs a Content-Length instead")
+
 // parseHead parses the head of a request into a call for the dispatcher and the request to forward, which has no body
 // yet.
 func (s *Server) parseHead(r *http.Request) (*dispatcher.Call, *httpmsg.Request, *requestError) {
@@ -102,7 +105,7 @@
 func checkFraming(r *http.Request) *requestError {
 	switch {
 	case len(r.TransferEncoding) > 0:
-		return requestErrorf(http.StatusLengthRequired, "Transfer-Encoding: a body needs a Content-Length instead")
+		return errTransferEncoding
 	case !r.ProtoAtLeast(1, 1):
 		return requestErrorf(http.StatusHTTPVersionNotSupported, "%s: HTTP/1.1 is served", r.Proto)
 	case r.ContentLength > httpmsg.MaxRequestBody:
--- a/internal/clienthttp/requestscanner_test.go
+++ b/internal/clienthttp/requestscanner_test.go
@@ -83,3 +83,41 @@
 		}
 	}
 }
+
+// TestUncertainEndIsRejected guards against a request that ends elsewhere for the scanner than for net/http. Its connection would
+// never count as idle, and clients that repeat it would keep others out. Forms that the scanner reads leave an idle connection.
+func TestUncertainEndIsRejected(t *testing.T) {
+	const body = "body!"
+	spaces := strings.Repeat(" ", maxScannedLine)
+	for name, c := range map[string]struct {
+		lengthField string
+		wantStatus  int
+	}{
+		"plain":             {"Content-Length: 5\r\n", http.StatusOK},
+		"spaces behind":     {"Content-Length: 5" + spaces[:40] + "\r\n", http.StatusOK},
+		"twice":             {"Content-Length: 5\r\ncontent-length:\t5\r\n", http.StatusOK},
+		"many spaces ahead": {"Content-Length:" + spaces + "5\r\n", http.StatusBadRequest},
+		"folded":            {"Content-Length:\r\n 5\r\n", http.StatusBadRequest},
+		"another folded":    {"Content-Length: 5\r\nX: y\r\n\tz\r\n", http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, d, addr := startServer(t, maxTestConns)
+			go d.respondToAll()
+			defer close(d.calls)
+			response, _, _ := roundTripOnNewConn(t, addr, validPutHead+c.lengthField+"\r\n"+body)
+			if response.StatusCode != c.wantStatus {
+				t.Fatalf("status %d, want %d", response.StatusCode, c.wantStatus)
+			}
+			if c.wantStatus == http.StatusOK {
+				awaitIdle(t, s, 1)
+			}
+		})
+	}
+	t.Run("chunked readiness check", func(t *testing.T) {
+		_, _, addr := startServer(t, maxTestConns)
+		const request = "GET /-/ready HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+		if response, _, _ := roundTripOnNewConn(t, addr, request); response.StatusCode != http.StatusLengthRequired || !response.Close {
+			t.Errorf("status %d, closes %v; want %d and a close", response.StatusCode, response.Close, http.StatusLengthRequired)
+		}
+	})
+}
