--- a/internal/faulttest/flood_test.go
+++ b/internal/faulttest/flood_test.go
@@ -88,10 +88,7 @@
 	requests, served := fixture.history.Counts()
 	t.Logf("most memory %d of %d KiB; %d responses to bad clients; requests of usual clients and attempts: %d, served: %d",
 		peakKiB, f.memoryMiB<<10, responses.Load(), requests, served)
-	if peakKiB > f.memoryMiB<<10 {
-		t.Errorf("the initiator's memory reached %d KiB, the limit is %d KiB\n%s%s", peakKiB, f.memoryMiB<<10,
-			fixture.process.LogLines("memory use is high"), fixture.process.LogLines("table sizes"))
-	}
+	fixture.checkMemory(t, peakKiB, f.memoryMiB<<10)
 	fixture.check(t)
 }
 
@@ -104,11 +101,28 @@
 	return peakKiB
 }
 
+// checkMemory fails the test if the initiator's memory has exceeded its limit.
+func (f *fixture) checkMemory(t *testing.T, peakKiB, limitKiB int) {
+	t.Helper()
+	if peakKiB > limitKiB {
+		t.Errorf("the initiator's memory reached %d KiB, the limit is %d KiB\n%s%s", peakKiB, limitKiB,
+			f.process.LogLines("memory use is high"), f.process.LogLines("table sizes"))
+	}
+}
+
 // sendUsualRequests sends requests of usual clients until done is closed, and waits for their responses.
 func (f *fixture) sendUsualRequests(done <-chan struct{}) {
+	sendEvery(floodUsualInterval, done, func(i int) {
+		f.client.Do(Request{ID: fmt.Sprintf("usual-%d", i), Class: readClass, Timeout: readClass.Deadline})
+	})
+}
+
+// sendEvery calls send with the numbers from 0 on, each in a goroutine, at the given interval until done is closed. It returns when
+// all calls have.
+func sendEvery(interval time.Duration, done <-chan struct{}, send func(i int)) {
 	var inFlight sync.WaitGroup
 	defer inFlight.Wait()
-	ticker := time.NewTicker(floodUsualInterval)
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for i := 0; ; i++ {
 		select {
@@ -116,9 +130,7 @@
 			return
 		case <-ticker.C:
 		}
-		inFlight.Go(func() {
-			f.client.Do(Request{ID: fmt.Sprintf("usual-%d", i), Class: readClass, Timeout: readClass.Deadline})
-		})
+		inFlight.Go(func() { send(i) })
 	}
 }
 
--- a/internal/faulttest/overload_test.go
+++ b/internal/faulttest/overload_test.go
@@ -90,10 +90,7 @@
 	requests, served, lateness := f.usualTraffic()
 	t.Logf("most memory %d of %d KiB; %d usual requests, %d served, the latest response %v after the client's timeout; %s",
 		peakKiB, o.memoryMiB<<10, requests, served, lateness, wait())
-	if peakKiB > o.memoryMiB<<10 {
-		t.Errorf("the initiator's memory reached %d KiB, the limit is %d KiB\n%s%s", peakKiB, o.memoryMiB<<10,
-			f.process.LogLines("memory use is high"), f.process.LogLines("table sizes"))
-	}
+	f.checkMemory(t, peakKiB, o.memoryMiB<<10)
 	if served*100 < requests*o.minServedPercent {
 		t.Errorf("%d of %d usual requests were served, want at least %d%%", served, requests, o.minServedPercent)
 	}
@@ -103,26 +100,14 @@
 // sendUsualTraffic sends requests of usual clients, on kept and on new connections, until done is closed, and waits for their
 // responses.
 func (f *fixture) sendUsualTraffic(done <-chan struct{}) {
-	var inFlight sync.WaitGroup
-	defer inFlight.Wait()
-	ticker := time.NewTicker(overloadInterval)
-	defer ticker.Stop()
-	for i := 0; ; i++ {
-		select {
-		case <-done:
-			return
-		case <-ticker.C:
+	sendEvery(overloadInterval, done, func(i int) {
+		client := f.client
+		if i%newConnEvery == 0 {
+			client = NewClient(f.client.Addr, f.history)
+			defer client.Close()
 		}
-		request := Request{ID: fmt.Sprintf("usual-%d", i), Class: readClass, Timeout: overloadTimeouts[i%len(overloadTimeouts)]}
-		inFlight.Go(func() {
-			client := f.client
-			if i%newConnEvery == 0 {
-				client = NewClient(f.client.Addr, f.history)
-				defer client.Close()
-			}
-			client.Do(request)
-		})
-	}
+		client.Do(Request{ID: fmt.Sprintf("usual-%d", i), Class: readClass, Timeout: overloadTimeouts[i%len(overloadTimeouts)]})
+	})
 }
 
 // usualTraffic returns the number of usual requests that were sent, how many of them were served, and how long after its
