scheduler: the expected wait of each shard is computed once a step, not for each new object

No caller is known to have met it.

Change: the waits are computed once a step and updated for the two queues between which an object moves.

--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -14,20 +14,36 @@
 )
 
 // selectQueue returns the queue of the request's shard or, for a new object, the queue with the shortest
-// expected wait. The search starts at a random queue, so that equally good queues are used evenly. While
-// no shard is known, it returns the queue of shard 0.
+// expected wait. While no shard is known, it returns the queue of shard 0.
 func (s *Scheduler) selectQueue(r *request) *shardQueue {
 	if r.Shard >= 0 || len(s.shardQueues) == 0 {
 		return s.shardQueueFor(max(r.Shard, 0))
 	}
-	var best *shardQueue
-	leastWait := math.Inf(1)
-	first := s.rng.IntN(len(s.shardQueues))
-	for i := range s.shardQueues {
-		q := s.shardQueues[(first+i)%len(s.shardQueues)]
-		if wait := s.expectedWait(q); best == nil || wait < leastWait {
-			best = q
-			leastWait = wait
+	s.computeWaits()
+	return s.shardQueues[s.shortestWait()]
+}
+
+// computeWaits sets the expected wait of each shard queue.
+func (s *Scheduler) computeWaits() {
+	s.waits = s.waits[:0]
+	for _, q := range s.shardQueues {
+		s.waits = append(s.waits, s.expectedWait(q))
+	}
+}
+
+// shortestWait returns the index of the queue with the shortest expected wait, by the last computeWaits. The
+// search starts at a random queue, so that equally good queues are used evenly.
+func (s *Scheduler) shortestWait() int {
+	first := s.rng.IntN(len(s.waits))
+	best := first
+	for i := first + 1; i < len(s.waits); i++ {
+		if s.waits[i] < s.waits[best] {
+			best = i
+		}
+	}
+	for i := range first {
+		if s.waits[i] < s.waits[best] {
+			best = i
 		}
 	}
 	return best
@@ -61,16 +77,23 @@
 // already. A request that moves keeps its tags, because its units were already charged to the volume,
 // whose bucket is common to all shards.
 func (s *Scheduler) migrateQueued() {
-	for _, q := range s.shardQueues {
+	hasWaits := false
+	for from, q := range s.shardQueues {
 		for i := 0; i < len(q.queued); i++ {
 			r := q.queued[i]
 			if r.Shard >= 0 || r.mayHaveExecuted {
 				continue
 			}
-			best := s.selectQueue(r)
-			if best != q && migrationFactor*s.expectedWait(best) < s.expectedWait(q) {
+			if !hasWaits {
+				s.computeWaits() // once a step: with many targets it costs more than all else
+				hasWaits = true
+			}
+			to := s.shortestWait()
+			if to != from && migrationFactor*s.waits[to] < s.waits[from] {
 				r.dequeue()
-				best.enqueue(r)
+				s.shardQueues[to].enqueue(r)
+				s.waits[from] = s.expectedWait(q)
+				s.waits[to] = s.expectedWait(s.shardQueues[to])
 				i--
 			}
 		}
--- a/scheduler/placement_test.go
+++ b/scheduler/placement_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
+	"time"
 )
 
 // TestNewObjectsStayWithKnownTargets checks that new objects go to targets that have responded, as long
@@ -39,3 +41,40 @@
 		t.Error("a hundred new objects at once all went to one target")
 	}
 }
+
+// TestQueuedNewObjectsCostLittle guards against queued new objects that each have the expected wait of every shard
+// computed again in each step, which takes the processor in a large fleet.
+func TestQueuedNewObjectsCostLittle(t *testing.T) {
+	const targets, few, many, steps, maxFactor = 3200, 1, 100, 20, 20
+	settings := testSettings()
+	settings.Plans[0].Limit = 0.001 // keeps the new objects queued
+	settings.Plans[0].BurstCapacity = 0.001
+	timeFor := func(queued int) time.Duration {
+		var entries []Target
+		for shard := range targets {
+			entries = append(entries, servingTarget(fmt.Sprint("n", shard), shard))
+		}
+		h := newHarness(t, settings, entries...)
+		for i := range queued {
+			request := testRequest(fmt.Sprint("w", i), "v", 1)
+			request.Shard = -1
+			h.step(request)
+		}
+		fastest := time.Duration(math.MaxInt64)
+		for range 3 {
+			startedAt := time.Now()
+			for range steps {
+				h.step(ClientClosed{RequestID: "unknown"})
+			}
+			fastest = min(fastest, time.Since(startedAt))
+		}
+		if len(h.sends)+len(h.responses) > 0 {
+			t.Fatalf("%d new objects were sent and %d ended, want all queued", len(h.sends), len(h.responses))
+		}
+		return fastest
+	}
+	withFew, withMany := timeFor(few), timeFor(many)
+	if withMany > maxFactor*withFew {
+		t.Errorf("%d steps took %v with %d queued new objects and %v with %d", steps, withFew, few, withMany, many)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -41,6 +41,7 @@
 	serialQueues     map[string]*serialQueue // by extent
 	shardQueues      []*shardQueue           // in the order in which they were created
 	queuesByShard    map[int]*shardQueue
+	waits            []float64 // expected wait of each shard queue, as of the last computeWaits; reused
 	volumes          map[string]*volume
 
 	// Targets.
