clienthttp: the close check before a body is for requests with one; order of the take-over

A read asked the kernel twice in a row whether its client had closed; now only a request with a body is asked about before it is read. The take-over of a connection from net/http is asked for only where there is a socket, since a request cannot be answered through net/http afterwards. connState's table names the lingerer's transition.

--- a/internal/clienthttp/connstate.go
+++ b/internal/clienthttp/connstate.go
@@ -11,13 +11,14 @@
 //	received   inFlight   handler     it claims the request
 //	receiving  inFlight   handler     the same, without having read all of the request: see claimRequest
 //	inFlight   responded  handler     it has written the response
-//	inFlight   malformed  handler     the request is malformed; the rest of it is read and discarded
+//	inFlight   malformed  handler     the request is malformed; the lingerer reads and discards the rest of it
 //	responded  idle       state hook  net/http has finished the response, and nothing of a further request has been read
 //	responded  receiving  state hook  the same, and bytes of a further request have been read ahead
 //	idle       closed     table       eviction, keep-alive timeout or shutdown, if nothing is unread
 //	receiving  closed     table       the same, or the request takes too long, if nothing is unread
 //	received   closed     table       the handler has not claimed the request for too long, if nothing is unread
 //	malformed  closed     table       eviction or shutdown, even if bytes are unread
+//	malformed  closed     lingerer    the client has closed, or may not send any more
 //	idle       closed     reader      the deadline of a read has passed, and nothing is unread
 //
 // The reader is the goroutine that reads from the connection, the table is connTable, and the state hook is
--- a/internal/clienthttp/handler.go
+++ b/internal/clienthttp/handler.go
@@ -41,7 +41,7 @@
 		s.respondLocally(w, r)
 		return
 	}
-	if conn.clientClosed() {
+	if r.ContentLength > 0 && conn.clientClosed() {
 		// The client has left while its request waited. What it has sent of the body is not worth reading.
 		conn.recordCloseReason(reasonClientClosed)
 		panic(http.ErrAbortHandler)
--- a/internal/clienthttp/lingering.go
+++ b/internal/clienthttp/lingering.go
@@ -132,7 +132,7 @@
 // over to the lingerer. The status is never 429 or 503, because a retry would have the same result.
 func (s *Server) respondMalformed(w http.ResponseWriter, conn *clientConn, malformed *requestError) {
 	conn.claimRequest()
-	if _, _, err := http.NewResponseController(w).Hijack(); err != nil || conn.rawConn == nil {
+	if !takeOver(w, conn) {
 		w.Header().Set("Connection", "close")
 		http.Error(w, malformed.Message, malformed.Status)
 		return
@@ -145,6 +145,15 @@
 	s.lingerer.incoming.Put(conn)
 }
 
+// takeOver takes the connection over from net/http. It returns false if the request has no socket, as in a test.
+func takeOver(w http.ResponseWriter, conn *clientConn) bool {
+	if conn.rawConn == nil {
+		return false
+	}
+	_, _, err := http.NewResponseController(w).Hijack()
+	return err == nil
+}
+
 // response returns the HTTP response to the malformed request, which announces the close.
 func (e *requestError) response() string {
 	body := e.Message + "\n"
